--- /dev/null
+++ b/cmd/command/doc.go
@@ -0,0 +1,2 @@
+// Package command defines the commands of siskinspar, one to a file.
+package command
--- /dev/null
+++ b/cmd/command/drain.go
@@ -0,0 +1,30 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"siskinspar.example/daemon/operatorapi"
+)
+
+func newDrain() *cli.Command {
+	return &cli.Command{
+		Name:  "drain",
+		Usage: "keep new work from the backend servers beside a daemon",
+		Flags: operatorFlags(&cli.BoolFlag{Name: "undo", Usage: "let new work in again"}),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			client, err := newClient(c)
+			if err != nil {
+				return err
+			}
+			isDraining := !c.Bool("undo")
+			if err := client.Drain(ctx, operatorapi.Drain{IsDraining: isDraining}); err != nil {
+				return err
+			}
+			fmt.Fprintf(c.Root().Writer, "draining: %t\n", isDraining)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/cmd/command/rollback.go
@@ -0,0 +1,52 @@
+package command
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"siskinspar.example/cmd/change"
+	"siskinspar.example/cmd/step/await"
+	"siskinspar.example/daemon/operatorapi"
+	"siskinspar.example/declaration"
+	"siskinspar.example/versionlog"
+)
+
+func newRollback() *cli.Command {
+	return &cli.Command{
+		Name:      "rollback",
+		Usage:     "make a new version with the content of an old one",
+		ArgsUsage: "VERSION",
+		Flags:     operatorFlags(changeFlags()...),
+		Action:    runRollback,
+	}
+}
+
+func runRollback(ctx context.Context, c *cli.Command) error {
+	text, err := argument(c, "VERSION")
+	if err != nil {
+		return err
+	}
+	v, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return exit(ExitInvalid, eris.Errorf("%q is not a version", text))
+	}
+	client, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	p := &change.Change{Client: client, Wait: waitOf(c), Logger: newLogger(c.Root().ErrWriter, logLevel(c))}
+	p.Result, err = client.Rollback(ctx, operatorapi.Rollback{
+		Version: declaration.Version(v), RequestID: versionlog.RequestID(uuid.NewString()), Operator: c.String("as"),
+	})
+	if err != nil {
+		return err
+	}
+	if err := change.Run(ctx, p, []change.Step{await.Step{}}); err != nil {
+		return err
+	}
+	return report(c, p)
+}
--- /dev/null
+++ b/cmd/command/standin.go
@@ -0,0 +1,100 @@
+package command
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"siskinspar.example/daemon/operatorapi"
+	"siskinspar.example/daemon/settings"
+	platform "siskinspar.example/platform/standin"
+	"siskinspar.example/standin/backend"
+)
+
+func newStandin() *cli.Command {
+	return &cli.Command{
+		Name:     "standin",
+		Usage:    "run a stand-in for what surrounds the daemons",
+		Commands: []*cli.Command{newStandinPlatform(), newStandinBackend()},
+	}
+}
+
+func newStandinPlatform() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "serve the table and the object store from memory",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Usage: "`ADDRESS` to listen on", Value: "127.0.0.1:7900"},
+			&cli.StringFlag{Name: "access-key", Usage: "only `KEY` that is let in"},
+			&cli.FloatFlag{Name: "writes", Usage: "`WRITES` a second that are let through, 0 for no limit"},
+			&cli.FloatFlag{Name: "reads", Usage: "`READS` a second that are let through, 0 for no limit"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s := &platform.Server{AccessKey: c.String("access-key"), WritesPerSecond: c.Float("writes"), ReadsPerSecond: c.Float("reads")}
+			return serve(ctx, c.String("listen"), s)
+		},
+	}
+}
+
+func newStandinBackend() *cli.Command {
+	return &cli.Command{
+		Name:  "backend",
+		Usage: "serve requests as a backend server and announce it to the daemon beside it",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "name", Usage: "`NAME` of the backend server", Required: true},
+			&cli.StringFlag{Name: "listen", Usage: "`ADDRESS` to listen on", Required: true},
+			&cli.StringFlag{Name: "daemon", Usage: "`ADDRESS` of the operator listener of the daemon beside it", Required: true},
+			&cli.StringFlag{Name: "token", Usage: "backend servers' `TOKEN`", Required: true},
+			&cli.StringFlag{Name: "labels", Usage: "`LABELS` as key=value,key=value"},
+			&cli.IntFlag{Name: "slots", Usage: "`NUMBER` of requests that run at once", Value: 10},
+			&cli.IntFlag{Name: "connections", Usage: "`NUMBER` of connections that are accepted", Value: 120},
+			&cli.DurationFlag{Name: "cold-start", Usage: "`TIME` added to the first requests"},
+		},
+		Action: runStandinBackend,
+	}
+}
+
+func runStandinBackend(ctx context.Context, c *cli.Command) error {
+	labels, err := settings.ParseLabels(c.String("labels"))
+	if err != nil {
+		return exit(ExitInvalid, err)
+	}
+	const crashCode = 70
+	s := &backend.Server{Name: c.String("name"), Slots: c.Int("slots"), ColdStart: c.Duration("cold-start"), Crash: func() { os.Exit(crashCode) }}
+	a := &backend.Announcer{
+		Client: &operatorapi.Client{Address: c.String("daemon"), Token: c.String("token"), HTTP: &http.Client{Timeout: requestTimeout}},
+		Announcement: operatorapi.Announcement{
+			Name: c.String("name"), Address: c.String("listen"), Labels: labels, Slots: c.Int("slots"), Connections: c.Int("connections"),
+			TimeToLive: 3, HealthPath: "/standin/health", LoadPath: "/standin/load",
+		},
+	}
+	a.Start(ctx)
+	err = serve(ctx, c.String("listen"), s)
+	<-a.Done()
+	return err
+}
+
+// serve answers on an address until the context ends, and lets requests in flight finish.
+func serve(ctx context.Context, address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", address)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: requestTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(l) }()
+	select {
+	case err := <-failed:
+		return eris.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	const stopTimeout = 10 * time.Second
+	limited, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	return eris.Wrap(server.Shutdown(limited), "stop")
+}
--- /dev/null
+++ b/cmd/command/validate.go
@@ -0,0 +1,39 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"siskinspar.example/declaration"
+)
+
+func newValidate() *cli.Command {
+	return &cli.Command{
+		Name:      "validate",
+		Usage:     "check the declarations of a directory without a daemon",
+		ArgsUsage: "DIR",
+		Flags:     []cli.Flag{outputFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			directory, err := argument(c, "DIR")
+			if err != nil {
+				return err
+			}
+			set, err := declaration.ReadDirectory(directory)
+			if err != nil {
+				return err
+			}
+			result := validated{Declarations: set.Len(), Digest: set.Digest()}
+			return show(c, result, func(w io.Writer) {
+				fmt.Fprintf(w, "%d declarations, digest %s\n", result.Declarations, result.Digest)
+			})
+		},
+	}
+}
+
+type validated struct {
+	Declarations int                `json:"declarations"`
+	Digest       declaration.Digest `json:"digest"`
+}
--- /dev/null
+++ b/cmd/step/submit/doc.go
@@ -0,0 +1,2 @@
+// Package submit is the step that submits the difference.
+package submit
--- /dev/null
+++ b/daemon/backends/table.go
@@ -0,0 +1,280 @@
+package backends
+
+import (
+	"cmp"
+	"math"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"siskinspar.example/daemon/operatorapi"
+	"siskinspar.example/declaration"
+	"siskinspar.example/membership"
+	"siskinspar.example/request/admission"
+	"siskinspar.example/timeline"
+)
+
+// The bounds of an announcement.
+const (
+	MaximumBackends   = 16
+	MaximumSlots      = 10000
+	maximumTimeToLive = 300
+	defaultTimeToLive = 10
+)
+
+// Table holds the backend servers beside one daemon; its lock is the first in the lock order.
+type Table struct {
+	// QueueLength, Recorder, Publish and Protected are set before use.
+	QueueLength int
+	Recorder    *timeline.Recorder
+	// Publish spreads the announced backend servers.
+	Publish func([]membership.BackendServer)
+	// Protected returns the share of the slots that is protected at a backend server with these labels.
+	Protected func(declaration.Labels) float64
+
+	mu         sync.Mutex
+	backends   map[string]*Backend
+	isDraining bool
+	published  []membership.BackendServer
+}
+
+// Announce takes in an announcement, or returns why it is refused.
+func (t *Table) Announce(a operatorapi.Announcement, now time.Time) error {
+	if err := checkAnnouncement(&a); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b, ok := t.backends[a.Name]
+	switch {
+	case !ok && len(t.backends) >= MaximumBackends:
+		return eris.Errorf("more than %d backend servers beside one daemon", MaximumBackends)
+	case !ok || b.announcement.Address != a.Address:
+		b = t.add(a)
+	}
+	b.expires = now.Add(time.Duration(a.TimeToLive) * time.Second)
+	b.announcement = a
+	t.applyDrain(b)
+	b.gate.SetLimits(t.limits(a))
+	t.publish()
+	return nil
+}
+
+func checkAnnouncement(a *operatorapi.Announcement) error {
+	if a.Name == "" || len(a.Name) > declaration.MaximumNameLength {
+		return eris.New("name must have 1 to 128 characters")
+	}
+	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+		return eris.New("address must be an IP number with a port")
+	}
+	if a.Slots <= 0 || a.Slots > MaximumSlots {
+		return eris.Errorf("slots must be from 1 to %d", MaximumSlots)
+	}
+	if a.Connections < 0 || a.WarmUp < 0 || a.TimeToLive < 0 || a.TimeToLive > maximumTimeToLive {
+		return eris.Errorf("connections and warmUp must not be below zero, timeToLive must be at most %d seconds", maximumTimeToLive)
+	}
+	a.TimeToLive = cmp.Or(a.TimeToLive, defaultTimeToLive)
+	a.Connections = cmp.Or(a.Connections, a.Slots)
+	return nil
+}
+
+func (t *Table) add(a operatorapi.Announcement) *Backend {
+	if t.backends == nil {
+		t.backends = map[string]*Backend{}
+	}
+	if old, ok := t.backends[a.Name]; ok {
+		old.gate.Drain()
+		old.close()
+	}
+	b := newBackend(a, t.limits(a))
+	t.backends[a.Name] = b
+	t.Recorder.Record(timeline.Event{Kind: timeline.KindBackendAnnounced, Subject: a.Name, Detail: a.Address})
+	return b
+}
+
+func (t *Table) limits(a operatorapi.Announcement) admission.Limits {
+	share := t.Protected(a.Labels)
+	return admission.Limits{
+		Slots:          a.Slots,
+		Queue:          t.QueueLength,
+		ProtectedSlots: int(math.Ceil(share * float64(a.Slots))),
+		WarmUp:         time.Duration(a.WarmUp) * time.Millisecond,
+	}
+}
+
+func (t *Table) applyDrain(b *Backend) {
+	wanted := t.isDraining || b.announcement.IsDraining
+	if wanted == b.isDraining {
+		return
+	}
+	b.isDraining = wanted
+	if wanted {
+		b.gate.Drain()
+		t.Recorder.Record(timeline.Event{Kind: timeline.KindDraining, Subject: b.Name()})
+		return
+	}
+	b.gate.Resume()
+}
+
+// publish spreads the backend servers when they differ from what was spread last.
+func (t *Table) publish() {
+	servers := make([]membership.BackendServer, 0, len(t.backends))
+	for _, b := range t.backends {
+		if !b.isHealthy {
+			continue
+		}
+		servers = append(servers, membership.BackendServer{
+			Name:       b.Name(),
+			Labels:     membership.NewLabels(b.announcement.Labels),
+			Slots:      b.announcement.Slots,
+			IsDraining: b.isDraining,
+		})
+	}
+	slices.SortFunc(servers, func(a, b membership.BackendServer) int { return cmp.Compare(a.Name, b.Name) })
+	if slices.EqualFunc(servers, t.published, isSame) {
+		return
+	}
+	t.published = servers
+	t.Publish(servers)
+}
+
+func isSame(a, b membership.BackendServer) bool {
+	return a.Name == b.Name && a.Slots == b.Slots && a.IsDraining == b.IsDraining && slices.Equal(a.Labels, b.Labels)
+}
+
+// Remove forgets a backend server that has left.
+func (t *Table) Remove(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.remove(name)
+	t.publish()
+}
+
+func (t *Table) remove(name string) {
+	b, ok := t.backends[name]
+	if !ok {
+		return
+	}
+	b.gate.Drain()
+	b.close()
+	delete(t.backends, name)
+	t.Recorder.Record(timeline.Event{Kind: timeline.KindBackendExpired, Subject: name})
+}
+
+// Tick removes backend servers whose announcement has expired and moves the waiting requests on.
+func (t *Table) Tick(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, b := range t.backends {
+		if now.After(b.expires) {
+			t.remove(name)
+			continue
+		}
+		b.gate.Tick()
+	}
+	t.publish()
+}
+
+// Refresh recomputes the bounds after a change of the configuration.
+func (t *Table) Refresh() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, b := range t.backends {
+		b.gate.SetLimits(t.limits(b.announcement))
+	}
+}
+
+// Find returns a backend server by name.
+func (t *Table) Find(name string) (*Backend, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b, ok := t.backends[name]
+	return b, ok
+}
+
+// All returns the backend servers in order of name.
+func (t *Table) All() []*Backend {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]*Backend, 0, len(t.backends))
+	for _, b := range t.backends {
+		all = append(all, b)
+	}
+	slices.SortFunc(all, func(a, b *Backend) int { return cmp.Compare(a.Name(), b.Name()) })
+	return all
+}
+
+// SetDraining starts or ends the drain of all backend servers beside this daemon.
+func (t *Table) SetDraining(isDraining bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.isDraining = isDraining
+	for _, b := range t.backends {
+		t.applyDrain(b)
+	}
+	t.publish()
+}
+
+// unhealthyProbes is the number of failed probes in a row after which a backend server is no longer offered.
+const unhealthyProbes = 3
+
+// NoteProbe takes in the result of a health probe; the probe is a hint, so one success offers the server again.
+func (t *Table) NoteProbe(name string, isOK bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b, ok := t.backends[name]
+	if !ok {
+		return
+	}
+	if isOK {
+		b.failures = 0
+		b.isHealthy = true
+	} else {
+		b.failures++
+		b.isHealthy = b.failures < unhealthyProbes
+	}
+	t.publish()
+}
+
+// Probe is a health check that is due.
+type Probe struct {
+	name string
+	url  string
+}
+
+// Name returns the backend server to check.
+func (p Probe) Name() string { return p.name }
+
+// URL returns the address of its health endpoint.
+func (p Probe) URL() string { return p.url }
+
+// Probes returns the health checks of all backend servers that announced a health endpoint.
+func (t *Table) Probes() []Probe {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var probes []Probe
+	for _, b := range t.backends {
+		if path := b.announcement.HealthPath; path != "" {
+			probes = append(probes, Probe{name: b.name, url: "http://" + b.address + path})
+		}
+	}
+	return probes
+}
+
+// Status describes the backend servers for operators.
+func (t *Table) Status() []operatorapi.BackendStatus {
+	var list []operatorapi.BackendStatus
+	for _, b := range t.All() {
+		running, waiting := b.gate.Load()
+		t.mu.Lock()
+		list = append(list, operatorapi.BackendStatus{
+			Name: b.Name(), Address: b.Address(), Slots: b.announcement.Slots, Running: running, Waiting: waiting,
+			IsHealthy: b.isHealthy, IsDraining: b.isDraining,
+		})
+		t.mu.Unlock()
+	}
+	return list
+}
--- /dev/null
+++ b/daemon/control/directory.go
@@ -0,0 +1,164 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sourcegraph/conc/iter"
+
+	"siskinspar.example/daemon/peer"
+	"siskinspar.example/declaration"
+	"siskinspar.example/distribution"
+	"siskinspar.example/membership"
+)
+
+const (
+	// maximumBuckets bounds the buckets of one fetch.
+	maximumBuckets = 8
+	// directoryTimeout bounds one comparison or fetch.
+	directoryTimeout = 2 * time.Second
+)
+
+// compare mends the directory with one random partner.
+//
+// Every daemon compares within its data centre; a relay alternates with a relay of another data centre.
+func (n *Node) compare() {
+	partner, ok := n.pickPartner()
+	if !ok {
+		n.contactSeeds()
+		return
+	}
+	if _, err := n.compareWith(partner.PeerAddress, maximumBuckets); err != nil {
+		n.Logger.Debug("control: comparison failed", "peer", partner.ID, "error", err)
+	}
+}
+
+func (n *Node) pickPartner() (membership.Record, bool) {
+	own := n.Roster.Self()
+	if n.Roster.IsRelay() && rand.IntN(2) == 0 {
+		if partner, ok := n.pickRemote(own); ok {
+			return partner, true
+		}
+	}
+	return pickOther(n.Roster.Group(own.DataCentre), own.ID)
+}
+
+func (n *Node) pickRemote(own membership.Record) (membership.Record, bool) {
+	centres := n.Roster.DataCentres()
+	rand.Shuffle(len(centres), func(i, j int) { centres[i], centres[j] = centres[j], centres[i] })
+	for _, d := range centres {
+		if d == own.DataCentre {
+			continue
+		}
+		return pickOther(n.Roster.Relays(d), own.ID)
+	}
+	return membership.Record{}, false
+}
+
+func pickOther(group []membership.Record, self membership.ID) (membership.Record, bool) {
+	for _, i := range rand.Perm(len(group)) {
+		if group[i].ID != self {
+			return group[i], true
+		}
+	}
+	return membership.Record{}, false
+}
+
+// compareWith exchanges the records of at most limit differing buckets and returns how many differed.
+func (n *Node) compareWith(address string, limit int) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), directoryTimeout)
+	defer cancel()
+	request := peer.CompareRequest{Header: n.header()}
+	n.Roster.Do(func(m *membership.Machine) { request.Summaries = m.Summaries() })
+	var reply peer.CompareReply
+	if err := n.Pool.Call(ctx, address, peer.MethodCompare, &request, &reply); err != nil {
+		return 0, err
+	}
+	n.hear(reply.Header)
+	fetch := peer.FetchRequest{Header: n.header()}
+	differing := 0
+	n.Roster.Do(func(m *membership.Machine) {
+		buckets := m.DifferingBuckets(reply.Digests)
+		differing = len(buckets)
+		rand.Shuffle(differing, func(i, j int) { buckets[i], buckets[j] = buckets[j], buckets[i] })
+		fetch.Buckets = buckets[:min(limit, differing)]
+		fetch.Records = m.Records(fetch.Buckets)
+	})
+	if differing == 0 {
+		return 0, nil
+	}
+	var answer peer.FetchReply
+	if err := n.Pool.Call(ctx, address, peer.MethodFetch, &fetch, &answer); err != nil {
+		return differing, err
+	}
+	n.Roster.Do(func(m *membership.Machine) { m.Merge(time.Now(), answer.Records) })
+	return differing, nil
+}
+
+// countInterval asks the members of an interval, by delegation, whether they have a version in force.
+func (n *Node) countInterval(v declaration.Version, i distribution.Interval) peer.ConvergeReply {
+	var total peer.ConvergeReply
+	if n.Configuration.Version() >= v {
+		total.InForce = 1
+	} else {
+		total.Lagging = []membership.ID{n.Roster.Self().ID}
+	}
+	own := n.Roster.Self()
+	delegations := distribution.Spread(n.Roster.Group(own.DataCentre), own.ID, i)
+	ask := iter.Mapper[distribution.Delegation, peer.ConvergeReply]{MaxGoroutines: distribution.FanOut}
+	for _, answer := range ask.Map(delegations, func(d *distribution.Delegation) peer.ConvergeReply { return n.countDelegation(v, *d) }) {
+		total.Add(answer)
+	}
+	return total
+}
+
+// countDelegation asks the first candidate that answers to count its interval.
+func (n *Node) countDelegation(v declaration.Version, d distribution.Delegation) peer.ConvergeReply {
+	var missed peer.ConvergeReply
+	for _, candidate := range d.Candidates() {
+		reply, err := n.askConvergence(candidate.PeerAddress, v, d.Interval())
+		if err == nil {
+			reply.Add(missed)
+			return reply
+		}
+		missed.Add(peer.ConvergeReply{Unreachable: []membership.ID{candidate.ID}})
+	}
+	return missed
+}
+
+func (n *Node) askConvergence(address string, v declaration.Version, i distribution.Interval) (peer.ConvergeReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), directoryTimeout)
+	defer cancel()
+	var reply peer.ConvergeReply
+	err := n.Pool.Call(ctx, address, peer.MethodConverge, &peer.ConvergeRequest{Header: n.header(), Version: v, Interval: i}, &reply)
+	return reply, err
+}
+
+// Converge counts the daemons of all data centres that have a version in force.
+func (n *Node) Converge(v declaration.Version) peer.ConvergeReply {
+	var total peer.ConvergeReply
+	centres := n.Roster.DataCentres()
+	ask := iter.Mapper[membership.DataCentre, peer.ConvergeReply]{MaxGoroutines: max(1, len(centres))}
+	for _, answer := range ask.Map(centres, func(d *membership.DataCentre) peer.ConvergeReply { return n.countCentre(v, *d) }) {
+		total.Add(answer)
+	}
+	return total
+}
+
+func (n *Node) countCentre(v declaration.Version, d membership.DataCentre) peer.ConvergeReply {
+	if d == n.Roster.Self().DataCentre {
+		return n.countInterval(v, distribution.Everyone)
+	}
+	group := n.Roster.Group(d)
+	for _, relay := range distribution.Relays(group, d) {
+		if reply, err := n.askConvergence(relay.PeerAddress, v, distribution.Everyone); err == nil {
+			return reply
+		}
+	}
+	var missed peer.ConvergeReply
+	for _, r := range group {
+		missed.Add(peer.ConvergeReply{Unreachable: []membership.ID{r.ID}})
+	}
+	return missed
+}
--- /dev/null
+++ b/daemon/control/join.go
@@ -0,0 +1,171 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"siskinspar.example/membership"
+	"siskinspar.example/platform"
+)
+
+const (
+	partitionSeed = "seed"
+	// maximumSeeds bounds the seed rows that are read.
+	maximumSeeds = 200
+	// firstBackoff doubles up to longestBackoff; each wait is drawn evenly from zero to it.
+	firstBackoff   = 200 * time.Millisecond
+	longestBackoff = 5 * time.Second
+)
+
+// seedRow is the address of a relay that a joining daemon may contact.
+type seedRow struct {
+	Instance membership.ID `json:"instance"`
+	Address  string        `json:"address"`
+}
+
+// join contacts seeds and brings the configuration to the head of the store before the daemon is ready.
+func (n *Node) join(ctx context.Context) {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		n.contactSeeds()
+		if n.reachHead() {
+			n.isReady.Store(true)
+			n.Logger.Info("control: ready", "version", n.Configuration.Version())
+			return
+		}
+		sleep(ctx, rand.N(backoff))
+		backoff = min(2*backoff, longestBackoff)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// contactSeeds announces this daemon to one seed and takes over a part of its directory.
+func (n *Node) contactSeeds() {
+	if n.contactOne(n.Seeds) {
+		return
+	}
+	n.contactOne(n.storedSeeds())
+}
+
+// contactOne tries the addresses in random order until one answers.
+func (n *Node) contactOne(addresses []string) bool {
+	own := n.Roster.Self().PeerAddress
+	for _, i := range rand.Perm(len(addresses)) {
+		if addresses[i] == own || n.probeOnce(membership.Record{PeerAddress: addresses[i]}) != nil {
+			continue
+		}
+		if _, err := n.compareWith(addresses[i], maximumBuckets); err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// storedSeeds returns the addresses that the relays keep in the store.
+func (n *Node) storedSeeds() []string {
+	ctx, cancel := n.storeContext()
+	defer cancel()
+	rows, err := n.Log.Table.Range(ctx, partitionSeed, "", maximumSeeds)
+	n.noteStore(err)
+	var addresses []string
+	for _, row := range rows {
+		var s seedRow
+		if json.Unmarshal(row.Value(), &s) == nil {
+			addresses = append(addresses, s.Address)
+		}
+	}
+	return addresses
+}
+
+// reachHead brings the configuration to the head of the store, from a peer where possible.
+func (n *Node) reachHead() bool {
+	ctx, cancel := n.storeContext()
+	defer cancel()
+	head, err := n.Log.Head(ctx)
+	n.noteStore(err)
+	if err != nil {
+		return false
+	}
+	n.Configuration.RaiseFloor(head.Version)
+	for _, r := range n.someMembers() {
+		if n.Configuration.Version() < head.Version {
+			_ = n.pullFrom(r.PeerAddress)
+		}
+	}
+	if n.Configuration.Snapshot() != nil && n.Configuration.Version() >= head.Version {
+		return true
+	}
+	state, err := n.Log.Load(ctx, head.Version)
+	if err != nil {
+		n.Logger.Warn("control: can't load the configuration", "version", head.Version, "error", err)
+		return false
+	}
+	if err := n.Configuration.Install(state); err != nil {
+		n.reportRefusal(err)
+		return false
+	}
+	return true
+}
+
+// someMembers returns a few random members of the data centre.
+func (n *Node) someMembers() []membership.Record {
+	const count = 3
+	own := n.Roster.Self()
+	group := n.Roster.Group(own.DataCentre)
+	rand.Shuffle(len(group), func(i, j int) { group[i], group[j] = group[j], group[i] })
+	var others []membership.Record
+	for _, r := range group {
+		if r.ID != own.ID && len(others) < count {
+			others = append(others, r)
+		}
+	}
+	return others
+}
+
+// renewSeed keeps the seed rows of the data centre pointing at its relays, and contacts relays of other
+// data centres that this daemon has lost, so that parted regions find each other again.
+func (n *Node) renewSeed() {
+	own := n.Roster.Self()
+	if !n.Roster.IsRelay() {
+		return
+	}
+	n.contactLost()
+	slot := "0"
+	if relays := n.Roster.Relays(own.DataCentre); len(relays) > 1 && relays[1].ID == own.ID {
+		slot = "1"
+	}
+	value, err := json.Marshal(seedRow{Instance: own.ID, Address: own.PeerAddress})
+	if err != nil {
+		return
+	}
+	ctx, cancel := n.storeContext()
+	defer cancel()
+	n.noteStore(n.Log.Table.Transact(ctx, []platform.Write{{
+		Key: platform.Key{Partition: partitionSeed, Sort: string(own.DataCentre) + "/" + slot}, Revision: own.Incarnation, Value: value,
+	}}))
+}
+
+// contactLost probes the stored seeds that are not among the serving members.
+func (n *Node) contactLost() {
+	known := map[string]bool{}
+	for _, r := range n.Roster.Serving() {
+		known[r.PeerAddress] = true
+	}
+	var lost []string
+	for _, address := range n.storedSeeds() {
+		if !known[address] {
+			lost = append(lost, address)
+		}
+	}
+	n.contactOne(lost)
+}
--- /dev/null
+++ b/daemon/control/loop.go
@@ -0,0 +1,143 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/conc/iter"
+
+	"siskinspar.example/daemon/peer"
+	"siskinspar.example/membership"
+)
+
+const (
+	// distributionStep is the time between two looks at the follower.
+	distributionStep = 50 * time.Millisecond
+	// comparisonPeriod is the mean time between two comparisons of the directory with another daemon.
+	comparisonPeriod = 2 * time.Second
+	// seedPeriod is the time between two renewals of the seed row by a relay.
+	seedPeriod = 30 * time.Second
+)
+
+// run owns the timers; the work itself is done by the workers.
+func (n *Node) run(ctx context.Context) {
+	defer close(n.done)
+	probe := time.NewTicker(n.Membership.Period)
+	defer probe.Stop()
+	distribute := time.NewTicker(distributionStep)
+	defer distribute.Stop()
+	compare := time.NewTimer(jitter(comparisonPeriod))
+	defer compare.Stop()
+	seed := time.NewTimer(jitter(n.Membership.Period))
+	defer seed.Stop()
+	n.startCommitter(ctx)
+	n.workers.try(func() { n.join(ctx) })
+	for {
+		select {
+		case <-ctx.Done():
+			n.stop()
+			return
+		case <-probe.C:
+			n.tickMembership()
+		case <-distribute.C:
+			n.tickDistribution()
+		case <-compare.C:
+			compare.Reset(jitter(comparisonPeriod))
+			n.workers.try(n.compare)
+		case <-seed.C:
+			seed.Reset(jitter(seedPeriod))
+			n.workers.try(n.renewSeed)
+		}
+	}
+}
+
+func (n *Node) stop() {
+	n.committer.wait()
+	n.workers.stop()
+}
+
+// jitter returns a time between half and one and a half of the mean, so that daemons don't act in step.
+func jitter(mean time.Duration) time.Duration {
+	return mean/2 + rand.N(mean)
+}
+
+func (n *Node) tickDistribution() {
+	isRelay := n.Roster.IsRelay()
+	n.mu.Lock()
+	step := n.follower.Tick(time.Now(), isRelay && n.IsReady())
+	n.mu.Unlock()
+	n.perform(step)
+}
+
+func (n *Node) tickMembership() {
+	now := time.Now()
+	n.noteTick(now)
+	var actions []membership.Action
+	n.Roster.Do(func(m *membership.Machine) { actions = m.Tick(now) })
+	n.act(actions)
+}
+
+func (n *Node) act(actions []membership.Action) {
+	for _, a := range actions {
+		if len(a.Helpers()) == 0 {
+			n.workers.try(func() { n.probe(a.Target()) })
+			continue
+		}
+		n.workers.try(func() { n.probeThrough(a.Helpers(), a.Target()) })
+	}
+}
+
+// probeTimeout bounds a direct probe; an indirect one gets twice that.
+func (n *Node) probeTimeout() time.Duration { return n.Membership.Period / 2 }
+
+func (n *Node) probe(target membership.Record) {
+	if err := n.probeOnce(target); err == nil {
+		return
+	}
+	var actions []membership.Action
+	n.Roster.Do(func(m *membership.Machine) { actions = m.HandleProbeFailure(time.Now(), target.ID) })
+	n.act(actions)
+}
+
+func (n *Node) probeOnce(target membership.Record) error {
+	request := peer.ProbeRequest{Header: n.header()}
+	n.Roster.Do(func(m *membership.Machine) { request.Probe = m.NewProbe() })
+	var reply peer.ProbeReply
+	ctx, cancel := context.WithTimeout(context.Background(), n.probeTimeout())
+	defer cancel()
+	if err := n.Pool.Call(ctx, target.PeerAddress, peer.MethodProbe, &request, &reply); err != nil {
+		return err
+	}
+	n.Roster.Do(func(m *membership.Machine) { m.HandleAck(time.Now(), reply.Ack) })
+	n.hear(reply.Header)
+	n.noteContact(reply.Header)
+	return nil
+}
+
+func (n *Node) probeThrough(helpers []membership.Record, target membership.Record) {
+	ask := iter.Mapper[membership.Record, bool]{MaxGoroutines: len(helpers)}
+	reached := ask.Map(helpers, func(helper *membership.Record) bool { return n.askHelper(*helper, target) })
+	if slices.Contains(reached, true) {
+		return
+	}
+	n.Roster.Do(func(m *membership.Machine) { m.HandleIndirectFailure(time.Now(), target.ID) })
+}
+
+func (n *Node) askHelper(helper, target membership.Record) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*n.probeTimeout())
+	defer cancel()
+	var reply peer.IndirectReply
+	request := peer.IndirectRequest{Header: n.header(), Target: target}
+	err := n.Pool.Call(ctx, helper.PeerAddress, peer.MethodIndirect, &request, &reply)
+	return err == nil && reply.IsReached
+}
+
+// Leave tells some members that this daemon has left, so that none suspects it.
+func (n *Node) Leave() {
+	n.Roster.Do(func(m *membership.Machine) { m.Leave(time.Now()) })
+	for _, r := range n.someMembers() {
+		_ = n.probeOnce(r)
+	}
+}
--- /dev/null
+++ b/daemon/control/methods.go
@@ -0,0 +1,86 @@
+package control
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"siskinspar.example/daemon/peer"
+	"siskinspar.example/membership"
+)
+
+// Methods are the remote methods that a daemon offers its peers.
+type Methods struct{ node *Node }
+
+// NewMethods returns the remote methods of a node.
+func NewMethods(n *Node) *Methods { return &Methods{node: n} }
+
+// Probe answers a probe with gossip.
+func (m *Methods) Probe(q *peer.ProbeRequest, a *peer.ProbeReply) error {
+	m.node.Roster.Do(func(s *membership.Machine) { a.Ack = s.HandleProbe(time.Now(), q.Probe) })
+	m.node.hear(q.Header)
+	a.Header = m.node.header()
+	return nil
+}
+
+// Indirect probes a member for another daemon.
+func (m *Methods) Indirect(q *peer.IndirectRequest, a *peer.IndirectReply) error {
+	a.IsReached = m.node.probeOnce(q.Target) == nil
+	a.Header = m.node.header()
+	return nil
+}
+
+// Push takes in changes and passes them on to the interval.
+func (m *Methods) Push(q *peer.PushRequest, a *peer.PushReply) error {
+	m.node.receive(q)
+	a.Header = m.node.header()
+	return nil
+}
+
+// Pull returns what follows a version.
+func (m *Methods) Pull(q *peer.PullRequest, a *peer.PullReply) error {
+	changes, ok := m.node.Configuration.ChangesAfter(q.After)
+	a.Header = m.node.header()
+	if ok {
+		a.Changes = changes
+		return nil
+	}
+	image, err := m.node.images.get(m.node.Configuration)
+	a.Image = image
+	return err
+}
+
+// Compare returns the digests of the data centres whose summaries differ.
+func (m *Methods) Compare(q *peer.CompareRequest, a *peer.CompareReply) error {
+	m.node.Roster.Do(func(s *membership.Machine) { a.Digests = s.Differing(q.Summaries) })
+	a.Header = m.node.header()
+	return nil
+}
+
+// Fetch merges the records of the sender and returns those of this daemon for the same buckets.
+func (m *Methods) Fetch(q *peer.FetchRequest, a *peer.FetchReply) error {
+	if len(q.Buckets) > maximumBuckets {
+		return eris.Errorf("more than %d buckets asked for", maximumBuckets)
+	}
+	m.node.Roster.Do(func(s *membership.Machine) {
+		a.Records = s.Records(q.Buckets)
+		s.Merge(time.Now(), q.Records)
+	})
+	a.Header = m.node.header()
+	return nil
+}
+
+// Converge counts the members of an interval that have a version in force.
+func (m *Methods) Converge(q *peer.ConvergeRequest, a *peer.ConvergeReply) error {
+	*a = m.node.countInterval(q.Version, q.Interval)
+	a.Header = m.node.header()
+	return nil
+}
+
+// Timeline returns the events of this daemon.
+func (m *Methods) Timeline(q *peer.TimelineRequest, a *peer.TimelineReply) error {
+	m.node.Clock.Receive(q.Header.Stamp)
+	a.Events = m.node.Recorder.Events(q.Filter)
+	a.Header = m.node.header()
+	return nil
+}
--- /dev/null
+++ b/daemon/core/doc.go
@@ -0,0 +1,2 @@
+// Package core holds what the parts of one daemon share.
+package core
--- /dev/null
+++ b/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon wires the parts of one siskinspar daemon.
+package daemon
--- /dev/null
+++ b/daemon/entry/send.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"siskinspar.example/daemon/peer"
+	"siskinspar.example/request/forward"
+	"siskinspar.example/request/outcome"
+	"siskinspar.example/request/routing"
+	"siskinspar.example/timeline"
+)
+
+// answer is the response of an owner; done notes how the call ended, the first time it is called.
+type answer struct {
+	*http.Response
+	done func(routing.Result)
+}
+
+// send hands the request to the daemon beside one backend server.
+func (h *Handler) send(ctx context.Context, c *call, to routing.Candidate) (*answer, *outcome.Failure) {
+	var isConnected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { isConnected.Store(true) }}
+	out, err := h.newOwnerRequest(httptrace.WithClientTrace(ctx, trace), c, to)
+	if err != nil {
+		return nil, outcome.NewFailure(outcome.NotRun, outcome.ReasonUnreachable, http.StatusBadRequest)
+	}
+	done := h.start(to)
+	response, err := h.Transport.RoundTrip(out)
+	if err != nil {
+		done(resultOf(c.request.Context()))
+		return nil, failureOf(ctx, isConnected.Load())
+	}
+	if outcome.Outcome(response.Header.Get(outcome.HeaderOutcome)) == outcome.Ran {
+		return &answer{Response: response, done: done}, nil
+	}
+	_ = response.Body.Close()
+	failure := outcome.ParseFailure(response.StatusCode, response.Header)
+	done(resultOfFailure(failure))
+	return nil, failure
+}
+
+func resultOfFailure(f *outcome.Failure) routing.Result {
+	switch {
+	case f.Outcome() == outcome.NotRun && f.Reason() == outcome.ReasonUnreachable:
+		return routing.ResultFailed
+	case f.Outcome() == outcome.NotRun:
+		return routing.ResultRefused
+	case f.Reason() == outcome.ReasonCancelled:
+		return routing.ResultCancelled
+	}
+	return routing.ResultFailed
+}
+
+func (h *Handler) newOwnerRequest(ctx context.Context, c *call, to routing.Candidate) (*http.Request, error) {
+	target := *c.request.URL
+	target.Scheme = h.Identity.Scheme()
+	target.Host = to.Address()
+	target.Path = peer.PathCall + c.request.URL.Path
+	if target.RawPath != "" {
+		target.RawPath = peer.PathCall + target.RawPath
+	}
+	out, err := http.NewRequestWithContext(ctx, c.request.Method, target.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	forward.CopyHeader(out.Header, c.request.Header)
+	out.Host = c.request.Host
+	out.Trailer = c.request.Trailer
+	newOwnerCall(h, c, to.Endpoint()).Write(out.Header)
+	h.Identity.Sign(out.Header)
+	c.body.Attach(out)
+	return out, nil
+}
+
+// start notes the beginning of a call at the router and returns the function that notes its end.
+func (h *Handler) start(to routing.Candidate) func(routing.Result) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	started := h.Router.Start(time.Now(), to.Endpoint())
+	var once sync.Once
+	return func(result routing.Result) {
+		once.Do(func() {
+			h.mu.Lock()
+			isEjected := h.Router.Finish(time.Now(), started, result)
+			h.mu.Unlock()
+			if isEjected {
+				h.Recorder.Record(timeline.Event{Kind: timeline.KindEndpointEjected, Subject: string(to.Endpoint().Instance) + "/" + to.Endpoint().Backend})
+			}
+		})
+	}
+}
+
+// failureOf tells a request that never got a connection from one that an owner may have sent on.
+func failureOf(ctx context.Context, isConnected bool) *outcome.Failure {
+	if !isConnected {
+		return outcome.NewFailure(outcome.NotRun, outcome.ReasonUnreachable, http.StatusServiceUnavailable)
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return outcome.NewFailure(outcome.Unknown, outcome.ReasonDeadline, http.StatusGatewayTimeout)
+	}
+	return outcome.NewFailure(outcome.Unknown, outcome.ReasonBackendFailure, http.StatusBadGateway)
+}
--- /dev/null
+++ b/daemon/gate/doc.go
@@ -0,0 +1,3 @@
+// Package gate lets requests wait for the admission controller of one backend
+// server.
+package gate
--- /dev/null
+++ b/daemon/owner/call.go
@@ -0,0 +1,55 @@
+package owner
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"siskinspar.example/declaration"
+	"siskinspar.example/request/forward"
+	"siskinspar.example/request/outcome"
+)
+
+// The headers that describe a call between daemons, besides those of package outcome.
+const (
+	headerPriority     = "Siskinspar-Priority"
+	headerProtected    = "Siskinspar-Protected"
+	headerUnrepeatable = "Siskinspar-Unrepeatable"
+)
+
+// Call describes a request that an entry daemon hands to the daemon beside a backend server.
+type Call struct {
+	Intent         string
+	Backend        string
+	Entry          string
+	Priority       declaration.Priority
+	IsProtected    bool
+	IsUnrepeatable bool
+	Timeout        time.Duration
+}
+
+// Write adds the description to the headers of a request between daemons.
+func (c Call) Write(h http.Header) {
+	h.Set(outcome.HeaderIntent, c.Intent)
+	h.Set(outcome.HeaderBackend, c.Backend)
+	h.Set(outcome.HeaderEntry, c.Entry)
+	h.Set(headerPriority, string(c.Priority))
+	h.Set(headerProtected, strconv.FormatBool(c.IsProtected))
+	h.Set(headerUnrepeatable, strconv.FormatBool(c.IsUnrepeatable))
+	forward.SetTimeout(h, c.Timeout)
+}
+
+// readCall reads the description of a call; an unreadable flag counts as unrepeatable, which is the safe side.
+func readCall(h http.Header) Call {
+	isProtected, _ := strconv.ParseBool(h.Get(headerProtected))
+	isUnrepeatable, err := strconv.ParseBool(h.Get(headerUnrepeatable))
+	return Call{
+		Intent:         h.Get(outcome.HeaderIntent),
+		Backend:        h.Get(outcome.HeaderBackend),
+		Entry:          h.Get(outcome.HeaderEntry),
+		Priority:       declaration.Priority(h.Get(headerPriority)),
+		IsProtected:    isProtected,
+		IsUnrepeatable: isUnrepeatable || err != nil,
+		Timeout:        forward.Timeout(h, declaration.MaximumTimeout),
+	}
+}
--- /dev/null
+++ b/daemon/owner/handler.go
@@ -0,0 +1,121 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"siskinspar.example/daemon/backends"
+	"siskinspar.example/daemon/peer"
+	"siskinspar.example/request/admission"
+	"siskinspar.example/request/forward"
+	"siskinspar.example/request/outcome"
+)
+
+// Handler serves calls from entry daemons; its fields are set before use.
+type Handler struct {
+	Backends *backends.Table
+	Meter    Meter
+}
+
+// Meter counts what became of the calls.
+type Meter interface {
+	// Count adds one call with its outcome and, unless it ran, the reason.
+	Count(o outcome.Outcome, r outcome.Reason)
+}
+
+// ServeHTTP implements http.Handler for paths below peer.PathCall.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := readCall(r.Header)
+	ctx, cancel := context.WithTimeout(r.Context(), c.Timeout)
+	defer cancel()
+	if failure := h.serve(ctx, w, r, c); failure != nil {
+		h.Meter.Count(failure.Outcome(), failure.Reason())
+		failure.WriteTo(w)
+		return
+	}
+	h.Meter.Count(outcome.Ran, "")
+}
+
+func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, c Call) *outcome.Failure {
+	b, ok := h.Backends.Find(c.Backend)
+	if !ok {
+		return outcome.NewRefusal(outcome.ReasonNoBackend)
+	}
+	deadline, _ := ctx.Deadline()
+	release, failure := b.Gate().Enter(ctx, admission.Request{
+		Intent: c.Intent, Priority: c.Priority, Deadline: deadline, IsProtected: c.IsProtected,
+	})
+	if failure != nil {
+		return failure
+	}
+	defer release()
+	return h.send(ctx, w, r, c, b)
+}
+
+func (h *Handler) send(ctx context.Context, w http.ResponseWriter, r *http.Request, c Call, b *backends.Backend) *outcome.Failure {
+	var isConnected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { isConnected.Store(true) }}
+	out, err := newBackendRequest(httptrace.WithClientTrace(ctx, trace), r, b.Address())
+	if err != nil {
+		return outcome.NewRefusal(outcome.ReasonUnreachable)
+	}
+	response, err := b.Transport(c.IsUnrepeatable).RoundTrip(out)
+	if err != nil {
+		return failureOf(ctx, isConnected.Load())
+	}
+	defer response.Body.Close()
+	w.Header().Set(outcome.HeaderOutcome, string(outcome.Ran))
+	if err := forward.SendResponse(w, response); err != nil {
+		// The connection is aborted so that the entry daemon sees that the body is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+func newBackendRequest(ctx context.Context, r *http.Request, address string) (*http.Request, error) {
+	target := *r.URL
+	target.Scheme = "http"
+	target.Host = address
+	target.Path = strings.TrimPrefix(r.URL.Path, peer.PathCall)
+	target.RawPath = strings.TrimPrefix(r.URL.RawPath, peer.PathCall)
+	out, err := http.NewRequestWithContext(ctx, r.Method, target.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	forward.CopyHeader(out.Header, r.Header)
+	out.Header.Del("Expect")
+	out.Host = r.Host
+	if r.ContentLength != 0 {
+		out.Body = r.Body
+	}
+	out.ContentLength = r.ContentLength
+	out.Trailer = r.Trailer
+	deadline, _ := ctx.Deadline()
+	forward.SetTimeout(out.Header, time.Until(deadline))
+	out.Header.Set(outcome.HeaderAttempt, outcome.InnerLayer)
+	return out, nil
+}
+
+// failureOf tells a request that never got a connection, and so did not run, from one whose fate is not known.
+func failureOf(ctx context.Context, isConnected bool) *outcome.Failure {
+	status := http.StatusBadGateway
+	reason := outcome.ReasonBackendFailure
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		status = http.StatusGatewayTimeout
+		reason = outcome.ReasonDeadline
+	case ctx.Err() != nil:
+		reason = outcome.ReasonCancelled
+	case !isConnected:
+		reason = outcome.ReasonUnreachable
+	}
+	if !isConnected {
+		return outcome.NewFailure(outcome.NotRun, reason, status)
+	}
+	return outcome.NewFailure(outcome.Unknown, reason, status)
+}
--- /dev/null
+++ b/daemon/part/callers/doc.go
@@ -0,0 +1,2 @@
+// Package callers is the part that serves callers.
+package callers
--- /dev/null
+++ b/daemon/part/callers/part.go
@@ -0,0 +1,79 @@
+package callers
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"siskinspar.example/daemon/core"
+	"siskinspar.example/daemon/entry"
+	"siskinspar.example/daemon/settings"
+	"siskinspar.example/membership"
+	"siskinspar.example/request/routing"
+)
+
+const (
+	// connectTimeout bounds the set-up of a connection to another daemon.
+	connectTimeout = time.Second
+	// idlePerPeer bounds the idle connections for calls that are kept to one daemon.
+	idlePerPeer = 32
+	// idleTotal bounds the idle connections for calls that are kept in all.
+	idleTotal = 1024
+	// consentTimeout bounds the wait for the consent of an owner to a streamed body; the body is not sent before.
+	consentTimeout = time.Hour
+)
+
+// Part serves the caller listener.
+type Part struct{ server *core.Server }
+
+// Name implements daemon.Part.
+func (p *Part) Name() string { return "callers" }
+
+// Defaults implements daemon.Part.
+func (p *Part) Defaults(s *settings.Settings) {
+	settings.Default(&s.Callers.Connections, 4096)
+	settings.Default(&s.Callers.HeaderSize, 64<<10)
+}
+
+// Check implements daemon.Part.
+func (p *Part) Check(s *settings.Settings) []settings.Fault {
+	return settings.CheckAddress("callers", "listen", s.Callers.Listen)
+}
+
+// Run implements daemon.Part.
+func (p *Part) Run(ctx context.Context, c *core.Core) error {
+	d := membership.DataCentre(c.Settings.Instance.DataCentre)
+	handler := &entry.Handler{
+		Self:          membership.ID(c.Settings.Instance.Name),
+		Configuration: c.Configuration,
+		Liveness:      c.Node,
+		Directory:     c.Roster,
+		Identity:      c.Identity,
+		Transport:     newTransport(c),
+		Recorder:      c.Recorder,
+		Meter:         core.Meter{Registry: c.Registry, Prefix: "entry"},
+		Router:        routing.NewRouter(d, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+	}
+	p.server = &core.Server{
+		Name: "callers", Address: c.Settings.Callers.Listen, Listener: c.CallerListener, Connections: c.Settings.Callers.Connections,
+		HeaderSize: c.Settings.Callers.HeaderSize, Handler: handler, Limit: c.Settings.Drain.Limit, Logger: c.Logger,
+	}
+	return p.server.Start(ctx)
+}
+
+func newTransport(c *core.Core) *http.Transport {
+	return &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		TLSClientConfig:       c.Identity.ClientTLS(),
+		MaxIdleConns:          idleTotal,
+		MaxIdleConnsPerHost:   idlePerPeer,
+		IdleConnTimeout:       time.Minute,
+		DisableCompression:    true,
+		ExpectContinueTimeout: consentTimeout,
+	}
+}
+
+// Done implements daemon.Part.
+func (p *Part) Done() <-chan struct{} { return p.server.Done() }
--- /dev/null
+++ b/daemon/part/connections/part.go
@@ -0,0 +1,49 @@
+package connections
+
+import (
+	"context"
+
+	"siskinspar.example/daemon/core"
+	"siskinspar.example/daemon/peer"
+	"siskinspar.example/daemon/settings"
+)
+
+// Part sets up the identity towards peers and the pool of connections to them.
+type Part struct{ done chan struct{} }
+
+// Name implements daemon.Part.
+func (p *Part) Name() string { return "connections" }
+
+// Defaults implements daemon.Part.
+func (p *Part) Defaults(*settings.Settings) {}
+
+// Check implements daemon.Part.
+func (p *Part) Check(s *settings.Settings) []settings.Fault {
+	if !s.Peers.IsTLS() {
+		return settings.CheckPresent("peers", "key", s.Peers.Key)
+	}
+	faults := settings.CheckPresent("peers", "certificate", s.Peers.Certificate)
+	faults = append(faults, settings.CheckPresent("peers", "private-key", s.Peers.PrivateKey)...)
+	return append(faults, settings.CheckPresent("peers", "authority", s.Peers.Authority)...)
+}
+
+// Run implements daemon.Part.
+func (p *Part) Run(ctx context.Context, c *core.Core) error {
+	identity, err := peer.NewIdentity(c.Settings.Peers)
+	if err != nil {
+		return err
+	}
+	c.Identity = identity
+	c.Traffic = &peer.Traffic{}
+	c.Pool = &peer.Pool{Identity: identity, Traffic: c.Traffic}
+	p.done = make(chan struct{})
+	go func() {
+		<-ctx.Done()
+		c.Pool.Close()
+		close(p.done)
+	}()
+	return nil
+}
+
+// Done implements daemon.Part.
+func (p *Part) Done() <-chan struct{} { return p.done }
--- /dev/null
+++ b/daemon/part/control/doc.go
@@ -0,0 +1,2 @@
+// Package control is the part that runs the control loops.
+package control
--- /dev/null
+++ b/daemon/part/control/part.go
@@ -0,0 +1,59 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"siskinspar.example/daemon/control"
+	"siskinspar.example/daemon/core"
+	"siskinspar.example/daemon/settings"
+	"siskinspar.example/distribution"
+	"siskinspar.example/membership"
+)
+
+// Part runs the control loops.
+type Part struct{ done <-chan struct{} }
+
+// Name implements daemon.Part.
+func (p *Part) Name() string { return "control" }
+
+// Defaults implements daemon.Part.
+func (p *Part) Defaults(s *settings.Settings) {
+	settings.Default(&s.Control.PollPeriod, distribution.DefaultTiming.Poll)
+}
+
+// shortestPeriod keeps probes from flooding the peers.
+const shortestPeriod = 50 * time.Millisecond
+
+// Check implements daemon.Part.
+func (p *Part) Check(s *settings.Settings) []settings.Fault {
+	if s.Control.ProbePeriod >= shortestPeriod {
+		return nil
+	}
+	return []settings.Fault{settings.NewFault("control", "probe-period", "must be at least 50ms")}
+}
+
+// Run implements daemon.Part.
+func (p *Part) Run(ctx context.Context, c *core.Core) error {
+	timing := distribution.DefaultTiming
+	timing.Poll = c.Settings.Control.PollPeriod
+	c.Node = &control.Node{
+		Roster:        c.Roster,
+		Configuration: c.Configuration,
+		Pool:          c.Pool,
+		Log:           c.Log,
+		Clock:         c.Clock,
+		Recorder:      c.Recorder,
+		Logger:        c.Logger,
+		Seeds:         c.Settings.Peers.Seeds,
+		StoreTimeout:  c.Settings.Platform.Timeout,
+		Membership:    membership.Timing{Period: c.Settings.Control.ProbePeriod},
+		Distribution:  timing,
+	}
+	c.Node.Start(ctx)
+	p.done = c.Node.Done()
+	return nil
+}
+
+// Done implements daemon.Part.
+func (p *Part) Done() <-chan struct{} { return p.done }
--- /dev/null
+++ b/daemon/part/instance/doc.go
@@ -0,0 +1,2 @@
+// Package instance is the part that identifies the daemon and sets up its time line, configuration and directory.
+package instance
--- /dev/null
+++ b/daemon/part/peers/doc.go
@@ -0,0 +1,2 @@
+// Package peers is the part that serves other daemons.
+package peers
--- /dev/null
+++ b/daemon/part/peers/part.go
@@ -0,0 +1,65 @@
+package peers
+
+import (
+	"context"
+
+	"siskinspar.example/daemon/control"
+	"siskinspar.example/daemon/core"
+	"siskinspar.example/daemon/owner"
+	"siskinspar.example/daemon/peer"
+	"siskinspar.example/daemon/settings"
+)
+
+// Part serves the peer listener.
+type Part struct {
+	server *core.Server
+	done   chan struct{}
+}
+
+// Name implements daemon.Part.
+func (p *Part) Name() string { return "peers" }
+
+// Defaults implements daemon.Part.
+func (p *Part) Defaults(s *settings.Settings) {
+	settings.Default(&s.Peers.Connections, 4096)
+	settings.Default(&s.Peers.Advertise, s.Peers.Listen)
+}
+
+// Check implements daemon.Part.
+func (p *Part) Check(s *settings.Settings) []settings.Fault {
+	faults := settings.CheckAddress("peers", "listen", s.Peers.Listen)
+	if s.Peers.Advertise != s.Peers.Listen {
+		faults = append(faults, settings.CheckAddress("peers", "advertise", s.Peers.Advertise)...)
+	}
+	for _, seed := range s.Peers.Seeds {
+		faults = append(faults, settings.CheckAddress("peers", "seeds", seed)...)
+	}
+	return faults
+}
+
+// Run implements daemon.Part.
+func (p *Part) Run(ctx context.Context, c *core.Core) error {
+	handler := &peer.Server{
+		Identity: c.Identity,
+		Traffic:  c.Traffic,
+		Methods:  control.NewMethods(c.Node),
+		Calls:    &owner.Handler{Backends: c.Backends, Meter: core.Meter{Registry: c.Registry, Prefix: "owner"}},
+	}
+	p.server = &core.Server{
+		Name: "peers", Address: c.Settings.Peers.Listen, Listener: c.PeerListener, Connections: c.Settings.Peers.Connections,
+		HeaderSize: c.Settings.Callers.HeaderSize, TLS: c.Identity.ServerTLS(), Handler: handler, Limit: c.Settings.Drain.Limit, Logger: c.Logger,
+	}
+	if err := p.server.Start(ctx); err != nil {
+		return err
+	}
+	p.done = make(chan struct{})
+	go func() {
+		<-p.server.Done()
+		handler.Close()
+		close(p.done)
+	}()
+	return nil
+}
+
+// Done implements daemon.Part.
+func (p *Part) Done() <-chan struct{} { return p.done }
--- /dev/null
+++ b/daemon/part/store/doc.go
@@ -0,0 +1,2 @@
+// Package store is the part that connects the daemon to the platform.
+package store
--- /dev/null
+++ b/daemon/roster/index.go
@@ -0,0 +1,113 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+
+	"siskinspar.example/declaration"
+	"siskinspar.example/declaration/snapshot"
+	"siskinspar.example/membership"
+	"siskinspar.example/request/routing"
+)
+
+// index keeps the candidates of each route that was asked for and updates only the instances that changed.
+type index struct {
+	version declaration.Version
+	routes  map[string]*candidates
+	touched map[membership.ID]bool
+}
+
+type candidates struct {
+	route    snapshot.Route
+	byMember map[membership.ID][]routing.Candidate
+	list     []routing.Candidate
+}
+
+func (x *index) touch(ids []membership.ID) {
+	if len(x.routes) == 0 {
+		return
+	}
+	for _, id := range ids {
+		x.touched[id] = true
+	}
+}
+
+// Candidates returns the backend servers that may serve a route of a snapshot, without draining ones.
+func (r *Roster) Candidates(n *snapshot.Snapshot, route snapshot.Route) []routing.Candidate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := &r.index
+	if x.routes == nil || x.version != n.Version() {
+		x.routes = map[string]*candidates{}
+		x.touched = map[membership.ID]bool{}
+		x.version = n.Version()
+	}
+	r.refresh()
+	name := route.Intent().Name
+	if c, ok := x.routes[name]; ok {
+		return c.list
+	}
+	c := &candidates{route: route, byMember: map[membership.ID][]routing.Candidate{}}
+	for _, member := range r.Machine.Serving() {
+		c.update(member)
+	}
+	c.rebuild()
+	x.routes[name] = c
+	return c.list
+}
+
+func (r *Roster) refresh() {
+	if len(r.index.touched) == 0 {
+		return
+	}
+	for _, c := range r.index.routes {
+		isChanged := false
+		for id := range r.index.touched {
+			member, _ := r.Machine.Find(id)
+			member.ID = id
+			isChanged = c.update(member) || isChanged
+		}
+		if isChanged {
+			c.rebuild()
+		}
+	}
+	clear(r.index.touched)
+}
+
+// update replaces the candidates of one member and reports whether there were or are any.
+func (c *candidates) update(member membership.Record) bool {
+	_, had := c.byMember[member.ID]
+	found := c.match(member)
+	if len(found) == 0 {
+		delete(c.byMember, member.ID)
+		return had
+	}
+	c.byMember[member.ID] = found
+	return true
+}
+
+func (c *candidates) match(member membership.Record) []routing.Candidate {
+	if !member.IsServing() {
+		return nil
+	}
+	var found []routing.Candidate
+	for _, b := range member.BackendServers {
+		if b.IsDraining || !c.route.Reaches(membership.MapLabels(b.Labels)) {
+			continue
+		}
+		e := routing.Endpoint{Instance: member.ID, Backend: b.Name}
+		found = append(found, routing.NewCandidate(e, member.PeerAddress, member.DataCentre, b.Slots))
+	}
+	return found
+}
+
+func (c *candidates) rebuild() {
+	list := make([]routing.Candidate, 0, len(c.byMember))
+	for _, found := range c.byMember {
+		list = append(list, found...)
+	}
+	slices.SortFunc(list, func(a, b routing.Candidate) int {
+		return cmp.Or(cmp.Compare(a.Endpoint().Instance, b.Endpoint().Instance), cmp.Compare(a.Endpoint().Backend, b.Endpoint().Backend))
+	})
+	c.list = list
+}
--- /dev/null
+++ b/daemon/roster/roster.go
@@ -0,0 +1,113 @@
+package roster
+
+import (
+	"sync"
+	"time"
+
+	"siskinspar.example/distribution"
+	"siskinspar.example/membership"
+	"siskinspar.example/timeline"
+)
+
+// Roster guards a membership machine; its lock is the last in the lock order and is never held across I/O.
+type Roster struct {
+	// Machine and Recorder are set before use.
+	Machine  *membership.Machine
+	Recorder *timeline.Recorder
+
+	mu       sync.Mutex
+	relays   []membership.Record
+	relaysAt uint64
+	index    index
+}
+
+// Do runs one step of the machine and records the events that it causes.
+func (r *Roster) Do(step func(m *membership.Machine)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	step(r.Machine)
+	r.publish()
+}
+
+func (r *Roster) publish() {
+	r.index.touch(r.Machine.TakeTouched())
+	for _, e := range r.Machine.TakeEvents() {
+		r.Recorder.Record(timeline.Event{
+			Kind:    timeline.Kind(e.Kind()),
+			Subject: string(e.Record().ID),
+			Detail:  string(e.Record().DataCentre),
+		})
+	}
+}
+
+// Self returns the daemon's own record.
+func (r *Roster) Self() membership.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Machine.Self()
+}
+
+// Find returns the record of an instance.
+func (r *Roster) Find(id membership.ID) (membership.Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Machine.Find(id)
+}
+
+// Group returns the serving members of a data centre.
+func (r *Roster) Group(d membership.DataCentre) []membership.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Machine.Group(d)
+}
+
+// Serving returns all serving members.
+func (r *Roster) Serving() []membership.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Machine.Serving()
+}
+
+// DataCentres returns the data centres with serving members.
+func (r *Roster) DataCentres() []membership.DataCentre {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Machine.DataCentres()
+}
+
+// Relays returns the relays of a data centre.
+func (r *Roster) Relays(d membership.DataCentre) []membership.Record {
+	return distribution.Relays(r.Group(d), d)
+}
+
+// IsRelay reports whether this daemon is a relay of its data centre.
+func (r *Roster) IsRelay() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	self := r.Machine.Self()
+	if r.relaysAt != r.Machine.Changes() {
+		before := distribution.IsRelay(r.relays, self.ID)
+		r.relays = distribution.Relays(r.Machine.Group(self.DataCentre), self.DataCentre)
+		r.relaysAt = r.Machine.Changes()
+		r.recordRelay(before, distribution.IsRelay(r.relays, self.ID))
+	}
+	return distribution.IsRelay(r.relays, self.ID)
+}
+
+func (r *Roster) recordRelay(before, now bool) {
+	if before == now {
+		return
+	}
+	detail := "became relay"
+	if before {
+		detail = "is no longer relay"
+	}
+	r.Recorder.Record(timeline.Event{Kind: timeline.KindRelayChanged, Subject: string(r.Machine.Self().ID), Detail: detail})
+}
+
+// Announce replaces the announced backend servers of this daemon.
+func (r *Roster) Announce(servers []membership.BackendServer) {
+	r.Do(func(m *membership.Machine) {
+		m.Announce(time.Now(), servers)
+	})
+}
--- /dev/null
+++ b/daemon/settings/check.go
@@ -0,0 +1,42 @@
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+)
+
+// CheckAddress returns a fault unless the value is an IP number with a port.
+func CheckAddress(section, key, value string) []Fault {
+	if value == "" {
+		return []Fault{NewFault(section, key, "is missing")}
+	}
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return []Fault{NewFault(section, key, "must be an IP number with a port, such as 127.0.0.1:7001")}
+	}
+	return nil
+}
+
+// CheckEndpoint returns a fault unless the value is an http or https URL with a host.
+func CheckEndpoint(section, key, value string) []Fault {
+	u, err := url.Parse(value)
+	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+		return []Fault{NewFault(section, key, "must be an http or https URL")}
+	}
+	return nil
+}
+
+// CheckPresent returns a fault when the value is empty.
+func CheckPresent(section, key, value string) []Fault {
+	if value == "" {
+		return []Fault{NewFault(section, key, "is missing")}
+	}
+	return nil
+}
+
+// Default sets a value that the file left at zero.
+func Default[T comparable](into *T, value T) {
+	var zero T
+	if *into == zero {
+		*into = value
+	}
+}
--- /dev/null
+++ b/declaration/entry.go
@@ -0,0 +1,92 @@
+package declaration
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// Entry is one checked declaration with its canonical content.
+type Entry struct {
+	key     Key
+	service *Service
+	intent  *Intent
+	content []byte
+	digest  [sha256.Size]byte
+	source  Fault
+}
+
+// NewServiceEntry returns the entry of a service.
+func NewServiceEntry(s Service) (Entry, error) {
+	s.Kind = KindService
+	return newEntry(Entry{key: Key{Kind: KindService, Name: s.Name}, service: &s}, s)
+}
+
+// NewIntentEntry returns the entry of an intent with its defaults filled in.
+func NewIntentEntry(i Intent) (Entry, error) {
+	i.Kind = KindIntent
+	if i.Priority == "" {
+		i.Priority = PriorityNormal
+	}
+	if i.Timeout == 0 {
+		i.Timeout = DefaultTimeout
+	}
+	return newEntry(Entry{key: Key{Kind: KindIntent, Name: i.Name}, intent: &i}, i)
+}
+
+func newEntry(e Entry, body any) (Entry, error) {
+	content, err := json.Marshal(body)
+	if err != nil {
+		return Entry{}, eris.Wrapf(err, "encode %s", e.key)
+	}
+	e.content = content
+	e.digest = sha256.Sum256(fmt.Appendf(nil, "%s\n%s", e.key, content))
+	e.source = NewFault(e.key.String(), 0, "")
+	return e, nil
+}
+
+// DecodeEntry reads canonical content; unknown fields are refused.
+func DecodeEntry(key Key, content []byte) (Entry, error) {
+	switch key.Kind {
+	case KindService:
+		var s Service
+		if err := decodeStrictly(key, content, &s); err != nil {
+			return Entry{}, err
+		}
+		s.Name = key.Name
+		return NewServiceEntry(s)
+	case KindIntent:
+		var i Intent
+		if err := decodeStrictly(key, content, &i); err != nil {
+			return Entry{}, err
+		}
+		i.Name = key.Name
+		return NewIntentEntry(i)
+	default:
+		return Entry{}, eris.Errorf("unknown kind %q", key.Kind)
+	}
+}
+
+func decodeStrictly(key Key, content []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(content))
+	d.DisallowUnknownFields()
+	return eris.Wrapf(d.Decode(into), "decode %s", key)
+}
+
+// Key returns the kind and name.
+func (e Entry) Key() Key { return e.key }
+
+// Service returns the service, or nil for another kind.
+func (e Entry) Service() *Service { return e.service }
+
+// Intent returns the intent, or nil for another kind.
+func (e Entry) Intent() *Intent { return e.intent }
+
+// Content returns the canonical JSON content.
+func (e Entry) Content() []byte { return e.content }
+
+// IsSame reports whether both entries have the same key and content.
+func (e Entry) IsSame(o Entry) bool { return e.digest == o.digest }
--- /dev/null
+++ b/declaration/reader.go
@@ -0,0 +1,168 @@
+package declaration
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/rotisserie/eris"
+)
+
+// MaximumFileSize bounds one declaration file in bytes.
+const MaximumFileSize = 4 << 20
+
+type header struct {
+	Kind Kind   `yaml:"kind"`
+	Name string `yaml:"name"`
+}
+
+// ReadDirectory reads every .yaml and .yml file below a directory and checks the whole set.
+//
+// The error is an *InvalidError when the declarations are at fault.
+func ReadDirectory(directory string) (Set, error) {
+	var entries []Entry
+	var faults []Fault
+	err := filepath.WalkDir(directory, func(path string, d os.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if d.IsDir() || !isDeclarationFile(path) {
+			return nil
+		}
+		found, bad, err := readFile(directory, path)
+		entries = append(entries, found...)
+		faults = append(faults, bad...)
+		return err
+	})
+	if err != nil {
+		return Set{}, eris.Wrapf(err, "read declarations in %s", directory)
+	}
+	if len(entries) == 0 && len(faults) == 0 {
+		faults = append(faults, NewFault(directory, 0, "no declarations found in .yaml or .yml files"))
+	}
+	faults = append(faults, findDuplicates(entries)...)
+	faults = append(faults, Check(entries)...)
+	if err := NewInvalidError(faults); err != nil {
+		return Set{}, err
+	}
+	return NewSet(entries...), nil
+}
+
+func isDeclarationFile(path string) bool {
+	extension := filepath.Ext(path)
+	return extension == ".yaml" || extension == ".yml"
+}
+
+func readFile(directory, path string) ([]Entry, []Fault, error) {
+	name, err := filepath.Rel(directory, path)
+	if err != nil {
+		return nil, nil, err
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	if info.Size() > MaximumFileSize {
+		return nil, []Fault{NewFault(name, 0, "file is larger than 4 MiB")}, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	entries, faults := Read(name, data)
+	return entries, faults, nil
+}
+
+// Read parses the declarations of one file and returns the entries and the faults found.
+func Read(name string, data []byte) ([]Entry, []Fault) {
+	file, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return nil, []Fault{newYAMLFault(name, err)}
+	}
+	var entries []Entry
+	var faults []Fault
+	for _, doc := range file.Docs {
+		if doc.Body == nil || doc.Body.Type() == ast.NullType || doc.Body.Type() == ast.CommentType {
+			continue
+		}
+		e, err := readDocument(doc.Body)
+		if err != nil {
+			faults = append(faults, newYAMLFaultAt(name, lineOf(doc.Body), err))
+			continue
+		}
+		e.source = NewFault(name, lineOf(doc.Body), "")
+		entries = append(entries, e)
+	}
+	return entries, faults
+}
+
+func lineOf(n ast.Node) int {
+	token := n.GetToken()
+	if m, ok := n.(*ast.MappingNode); ok && len(m.Values) > 0 {
+		token = m.Values[0].Key.GetToken()
+	}
+	if token == nil || token.Position == nil {
+		return 0
+	}
+	return token.Position.Line
+}
+
+func readDocument(n ast.Node) (Entry, error) {
+	var h header
+	if err := yaml.NodeToValue(n, &h); err != nil {
+		return Entry{}, err
+	}
+	switch h.Kind {
+	case KindService:
+		var s Service
+		if err := yaml.NodeToValue(n, &s, yaml.Strict()); err != nil {
+			return Entry{}, err
+		}
+		return NewServiceEntry(s)
+	case KindIntent:
+		var i Intent
+		if err := yaml.NodeToValue(n, &i, yaml.Strict()); err != nil {
+			return Entry{}, err
+		}
+		return NewIntentEntry(i)
+	case "":
+		return Entry{}, eris.New("kind is missing")
+	default:
+		return Entry{}, eris.Errorf("unknown kind %q, expected service or intent", h.Kind)
+	}
+}
+
+func newYAMLFault(name string, err error) Fault { return newYAMLFaultAt(name, 0, err) }
+
+func newYAMLFaultAt(name string, line int, err error) Fault {
+	var located yaml.Error
+	if !errors.As(err, &located) {
+		return NewFault(name, line, err.Error())
+	}
+	if token := located.GetToken(); token != nil && token.Position != nil {
+		line = token.Position.Line
+	}
+	return NewFault(name, line, strings.TrimSpace(located.GetMessage()))
+}
+
+func findDuplicates(entries []Entry) []Fault {
+	first := make(map[Key]Entry, len(entries))
+	var faults []Fault
+	for _, e := range entries {
+		earlier, ok := first[e.key]
+		if !ok {
+			first[e.key] = e
+			continue
+		}
+		faults = append(faults, e.fault("duplicate of "+e.key.String()+", first declared at "+strings.TrimSuffix(earlier.source.String(), ": ")))
+	}
+	return faults
+}
+
+func (e Entry) fault(reason string) Fault {
+	return NewFault(e.source.place, e.source.line, reason)
+}
--- /dev/null
+++ b/declaration/snapshot/doc.go
@@ -0,0 +1,3 @@
+// Package snapshot compiles a set of declarations into the route table of one
+// proxy.
+package snapshot
--- /dev/null
+++ b/request/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry bounds the extra load that second attempts cause.
+package retry
--- /dev/null
+++ b/versionlog/record/snapshot.go
@@ -0,0 +1,129 @@
+package record
+
+import (
+	"context"
+	"fmt"
+
+	"siskinspar.example/declaration"
+	"siskinspar.example/platform"
+	"siskinspar.example/versionlog"
+)
+
+func snapshotName(v declaration.Version) string { return fmt.Sprintf("snapshot/%s", sortOf(v)) }
+
+// PutSnapshot stores the whole state as an object; storing it twice has no further effect.
+func (l *Log) PutSnapshot(ctx context.Context, s versionlog.State) error {
+	data, err := Encode(s.Image())
+	if err != nil {
+		return err
+	}
+	return l.Objects.Put(ctx, snapshotName(s.Version()), data)
+}
+
+// Load returns the newest state, or the state of an older version that is still retained.
+func (l *Log) Load(ctx context.Context, upTo declaration.Version) (versionlog.State, error) {
+	s, err := l.loadSnapshot(ctx, upTo)
+	if err != nil {
+		return s, err
+	}
+	return l.Advance(ctx, s, upTo)
+}
+
+// Advance applies the changes that follow a state, up to a version.
+func (l *Log) Advance(ctx context.Context, s versionlog.State, upTo declaration.Version) (versionlog.State, error) {
+	for s.Version() < upTo {
+		changes, err := l.Changes(ctx, s.Version())
+		if err != nil {
+			return s, err
+		}
+		if len(changes) == 0 {
+			return s, versionlog.NewRefusedError(upTo, versionlog.ReasonOrder, nil)
+		}
+		for _, c := range changes {
+			if s.Version() >= upTo {
+				break
+			}
+			if s, err = s.Apply(c); err != nil {
+				return s, err
+			}
+		}
+	}
+	return s, nil
+}
+
+// loadSnapshot tries the snapshot objects at and below a version; without one the log is read from its start.
+func (l *Log) loadSnapshot(ctx context.Context, upTo declaration.Version) (versionlog.State, error) {
+	v := upTo - upTo%SnapshotInterval
+	for range RetainedVersions / SnapshotInterval {
+		if v == 0 {
+			break
+		}
+		s, err := l.readSnapshot(ctx, v)
+		if err == nil {
+			return s, nil
+		}
+		if platform.IsCause(err, platform.CauseUnavailable) {
+			return versionlog.State{}, err
+		}
+		v -= SnapshotInterval
+	}
+	return versionlog.State{}, nil
+}
+
+func (l *Log) readSnapshot(ctx context.Context, v declaration.Version) (versionlog.State, error) {
+	data, err := l.Objects.Get(ctx, snapshotName(v))
+	if err != nil {
+		return versionlog.State{}, err
+	}
+	var m versionlog.Image
+	if err := Decode(data, &m); err != nil {
+		return versionlog.State{}, platform.NewError("read snapshot", platform.CauseInvalid, err)
+	}
+	s, err := versionlog.Restore(m)
+	if err != nil {
+		return versionlog.State{}, err
+	}
+	if s.Version() != v {
+		return versionlog.State{}, versionlog.NewRefusedError(s.Version(), versionlog.ReasonOrder, nil)
+	}
+	return s, nil
+}
+
+// Trim deletes the change and request rows of versions that are no longer retained, at most one page.
+//
+// Nothing is deleted while the snapshot that covers those versions can't be read.
+func (l *Log) Trim(ctx context.Context, newest declaration.Version) (int, error) {
+	if newest <= RetainedVersions {
+		return 0, nil
+	}
+	oldest := newest - RetainedVersions
+	oldest -= oldest % SnapshotInterval
+	if _, err := l.readSnapshot(ctx, oldest); err != nil {
+		return 0, err
+	}
+	rows, err := l.Table.Range(ctx, partitionChange, "", pageSize)
+	if err != nil {
+		return 0, err
+	}
+	trimmed := 0
+	for _, row := range rows {
+		if row.Revision() > uint64(oldest) {
+			break
+		}
+		if err := l.trimRow(ctx, row); err != nil {
+			return trimmed, err
+		}
+		trimmed++
+	}
+	return trimmed, nil
+}
+
+func (l *Log) trimRow(ctx context.Context, row platform.Row) error {
+	writes := []platform.Write{{Key: row.Key(), IsDelete: true}}
+	if c, err := l.decodeChange(ctx, row); err == nil {
+		for _, a := range c.Accepted {
+			writes = append(writes, platform.Write{Key: requestKey(a.RequestID), IsDelete: true})
+		}
+	}
+	return l.Table.Transact(ctx, writes)
+}
