--- a/cmd/command/demo.go
+++ b/cmd/command/demo.go
@@ -1,5 +1,20 @@
 package command
 
-import "github.com/urfave/cli/v3"
+import (
+	"context"
 
-func newDemo() *cli.Command { return &cli.Command{Name: "demo"} }
+	"github.com/urfave/cli/v3"
+
+	"siskinspar.example/cmd/demo"
+)
+
+func newDemo() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run a whole mesh on loopback and check what it promises",
+		Flags: []cli.Flag{&cli.Uint64Flag{Name: "seed", Usage: "`SEED` of the order of requests", Value: 1}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return (&demo.Demo{Out: c.Root().Writer, Seed: c.Uint64("seed")}).Run(ctx)
+		},
+	}
+}
--- /dev/null
+++ b/cmd/demo/check.go
@@ -0,0 +1,101 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"siskinspar.example/standin/load"
+)
+
+// The classes of the load.
+const (
+	classStatus    = "loan-status"
+	classLodging   = "loan-lodging"
+	classRepayment = "repayment"
+	classLedger    = "branch-ledger"
+	classPrice     = "price-lookup"
+)
+
+func newGenerator(targets []string, seed uint64) *load.Generator {
+	const connections = 64
+	return &load.Generator{
+		Targets: targets,
+		Classes: []load.Class{
+			{Name: classStatus, Method: http.MethodGet, Path: "/loans/1?work=5ms", Weight: 60},
+			{Name: classLodging, Method: http.MethodPost, Path: "/loans?work=20ms", Weight: 5, BodySize: 2000, IsKeyed: true},
+			{Name: classRepayment, Method: http.MethodPost, Path: "/repayments?work=10ms", Weight: 10, BodySize: 500, IsKeyed: true},
+			{Name: classLedger, Method: http.MethodGet, Path: "/ledgers/7?work=20ms&size=200000", Weight: 5},
+			{Name: classPrice, Method: http.MethodGet, Path: "/prices/3?work=2ms", Weight: 20},
+		},
+		Rate: loadRate, Duration: loadDuration, Concurrency: 512, Seed: seed, Prefix: "demo-",
+		Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections}},
+	}
+}
+
+// check compares what callers were told with what the backend servers ran.
+func (d *Demo) check(context.Context) error {
+	d.writeTable()
+	executions := map[string]int{}
+	counts := d.lost
+	for _, b := range d.mesh.Backends() {
+		counts = append(counts, b.Server().Executions())
+	}
+	for _, one := range counts {
+		for id, n := range one {
+			executions[id] += n
+		}
+	}
+	d.checkAtMostOnce(executions)
+	d.checkNotRun(executions)
+	for name, t := range d.tallies {
+		if t.Wrong > 0 {
+			d.fail("%d answers of %s were cut or belonged to another request", t.Wrong, name)
+		}
+		if t.Ran == 0 {
+			d.fail("nothing of %s was served", name)
+		}
+	}
+	return nil
+}
+
+func (d *Demo) fail(format string, values ...any) {
+	d.failures = append(d.failures, fmt.Sprintf(format, values...))
+}
+
+func (d *Demo) checkAtMostOnce(executions map[string]int) {
+	for id, n := range executions {
+		isUnrepeatable := strings.Contains(id, classLodging) || strings.Contains(id, classRepayment)
+		if isUnrepeatable && n > 1 {
+			d.fail("%s ran %d times", id, n)
+		}
+	}
+}
+
+func (d *Demo) checkNotRun(executions map[string]int) {
+	for _, id := range d.generator.NotRunIDs() {
+		if executions[id] > 0 {
+			d.fail("%s was answered not-run, but ran", id)
+		}
+	}
+}
+
+func (d *Demo) writeTable() {
+	t := tabwriter.NewWriter(d.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "CLASS\tSENT\tRAN\tNOT RUN\tUNKNOWN\tFAILED\tP50 ms\tP99 ms\t")
+	var names []string
+	for name := range d.tallies {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	const microseconds = 1000.0
+	for _, name := range names {
+		n := d.tallies[name]
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t\n", name, n.Sent, n.Ran, n.NotRun, n.Unknown, n.Failed,
+			float64(n.Latencies.ValueAtQuantile(50))/microseconds, float64(n.Latencies.ValueAtQuantile(99))/microseconds)
+	}
+	_ = t.Flush()
+}
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -40,6 +40,8 @@
 	OperatorListener net.Listener
 
 	IsDraining atomic.Bool
+	// IsKilled makes the listeners cut the requests in flight when they stop.
+	IsKilled atomic.Bool
 }
 
 // Meter counts calls of one kind in the metrics registry.
--- a/daemon/core/server.go
+++ b/daemon/core/server.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -33,6 +34,8 @@
 	// Limit is how long requests in flight may take to end after a stop.
 	Limit  time.Duration
 	Logger *slog.Logger
+	// IsKilled makes a stop cut the requests in flight.
+	IsKilled *atomic.Bool
 
 	server http.Server
 	group  conc.WaitGroup
@@ -81,6 +84,10 @@
 
 func (s *Server) shutDown(ctx context.Context) {
 	<-ctx.Done()
+	if s.IsKilled.Load() {
+		_ = s.server.Close()
+		return
+	}
 	limited, cancel := context.WithTimeout(context.Background(), s.Limit)
 	defer cancel()
 	if err := s.server.Shutdown(limited); err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -127,7 +127,10 @@
 }
 
 // Kill ends all parts without a drain, as a crash would.
-func (d *Daemon) Kill() { d.stopParts() }
+func (d *Daemon) Kill() {
+	d.core.IsKilled.Store(true)
+	d.stopParts()
+}
 
 func (d *Daemon) stopParts() {
 	for i := len(d.parts) - 1; i >= 0; i-- {
--- a/daemon/part/callers/part.go
+++ b/daemon/part/callers/part.go
@@ -58,7 +58,7 @@
 	}
 	p.server = &core.Server{
 		Name: "callers", Address: c.Settings.Callers.Listen, Listener: c.CallerListener, Connections: c.Settings.Callers.Connections,
-		HeaderSize: c.Settings.Callers.HeaderSize, Handler: handler, Limit: c.Settings.Drain.Limit, Logger: c.Logger,
+		HeaderSize: c.Settings.Callers.HeaderSize, Handler: handler, Limit: c.Settings.Drain.Limit, Logger: c.Logger, IsKilled: &c.IsKilled,
 	}
 	return p.server.Start(ctx)
 }
--- a/daemon/part/operators/part.go
+++ b/daemon/part/operators/part.go
@@ -39,7 +39,7 @@
 func (p *Part) Run(ctx context.Context, c *core.Core) error {
 	p.server = &core.Server{
 		Name: "operators", Address: c.Settings.Operators.Listen, Listener: c.OperatorListener, Connections: c.Settings.Operators.Connections,
-		HeaderSize: c.Settings.Callers.HeaderSize, Handler: (&operator.Server{Core: c}).Handler(), Limit: c.Settings.Drain.Limit, Logger: c.Logger,
+		HeaderSize: c.Settings.Callers.HeaderSize, Handler: (&operator.Server{Core: c}).Handler(), Limit: c.Settings.Drain.Limit, Logger: c.Logger, IsKilled: &c.IsKilled,
 	}
 	return p.server.Start(ctx)
 }
--- a/distribution/spread.go
+++ b/distribution/spread.go
@@ -38,16 +38,45 @@
 // Candidates returns the members of the part in order of hash.
 func (d Delegation) Candidates() []membership.Record { return d.candidates }
 
-// Spread divides the members of an interval into at most FanOut delegations without gaps.
+// Spread divides the members of an interval, without the instance itself, into about FanOut delegations.
 //
-// Every hash of the interval belongs to a delegation, so a member that only a
-// delegate knows is still reached.
+// The hash of the instance itself belongs to no delegation, so that no delegate hands it back. Between two
+// delegations there is no other gap, so a member that only a delegate knows is still reached.
 func Spread(group []membership.Record, self membership.ID, i Interval) []Delegation {
 	members := slices.DeleteFunc(slices.Clone(group), func(r membership.Record) bool {
 		return r.ID == self || !i.Contains(r.ID)
 	})
+	if len(members) == 0 {
+		return nil
+	}
 	slices.SortFunc(members, func(a, b membership.Record) int { return cmp.Compare(a.ID.Hash(), b.ID.Hash()) })
-	parts := min(FanOut, len(members))
+	var delegations []Delegation
+	for _, piece := range i.without(self) {
+		inside := slices.DeleteFunc(slices.Clone(members), func(r membership.Record) bool { return !piece.Contains(r.ID) })
+		parts := (FanOut*len(inside) + len(members) - 1) / len(members)
+		delegations = append(delegations, piece.divide(inside, min(parts, len(inside)))...)
+	}
+	return delegations
+}
+
+// without returns the interval on both sides of an instance, or the whole of it when the instance is outside.
+func (i Interval) without(self membership.ID) []Interval {
+	if !i.Contains(self) {
+		return []Interval{i}
+	}
+	var pieces []Interval
+	h := self.Hash()
+	if h > i.From {
+		pieces = append(pieces, Interval{From: i.From, To: h - 1})
+	}
+	if h < i.To {
+		pieces = append(pieces, Interval{From: h + 1, To: i.To})
+	}
+	return pieces
+}
+
+// divide splits the interval into parts with equally many of its members, which are in order of hash.
+func (i Interval) divide(members []membership.Record, parts int) []Delegation {
 	delegations := make([]Delegation, 0, parts)
 	from := i.From
 	for p := range parts {
--- /dev/null
+++ b/examples/doc.go
@@ -0,0 +1,2 @@
+// Package examples holds the declarations and settings of two deployments.
+package examples
--- a/standin/load/generator.go
+++ b/standin/load/generator.go
@@ -64,7 +64,7 @@
 
 	mu      sync.Mutex
 	tallies map[string]*Tally
-	ids     []string
+	notRun  []string
 }
 
 // Latencies are recorded in microseconds between these bounds.
@@ -98,8 +98,8 @@
 	return g.tallies
 }
 
-// IDs returns the ids of the requests that were answered as run, for comparison with the executions.
-func (g *Generator) IDs() []string { return g.ids }
+// NotRunIDs returns the ids of the requests that were answered as not run, for comparison with the executions.
+func (g *Generator) NotRunIDs() []string { return g.notRun }
 
 func sleepUntil(ctx context.Context, due time.Time) bool {
 	wait := time.Until(due)
@@ -144,12 +144,12 @@
 		t.Failed++
 	case result == outcome.Ran && isWhole:
 		t.Ran++
-		g.ids = append(g.ids, id)
 		_ = t.Latencies.RecordValue(max(shortestLatency, min(latency, longestLatency)))
 	case result == outcome.Ran:
 		t.Wrong++
 	case result == outcome.NotRun:
 		t.NotRun++
+		g.notRun = append(g.notRun, id)
 	default:
 		t.Unknown++
 	}
