--- a/daemon/control/committer.go
+++ b/daemon/control/committer.go
@@ -198,7 +198,7 @@
 func (c *committer) accept(change versionlog.Change) {
 	n := c.node
 	n.Recorder.Record(timeline.Event{Kind: timeline.KindVersionAccepted, Version: uint64(change.Version), Subject: change.Accepted[0].Operator})
-	if err := n.Configuration.Apply([]versionlog.Change{change}); err != nil {
+	if err := n.enter([]versionlog.Change{change}); err != nil {
 		n.reportRefusal(err)
 		return
 	}
--- a/daemon/control/directory.go
+++ b/daemon/control/directory.go
@@ -98,12 +98,7 @@
 
 // countInterval asks the members of an interval, by delegation, whether they have a version in force.
 func (n *Node) countInterval(v declaration.Version, i distribution.Interval) peer.ConvergeReply {
-	var total peer.ConvergeReply
-	if n.Configuration.Version() >= v {
-		total.InForce = 1
-	} else {
-		total.Lagging = []membership.ID{n.Roster.Self().ID}
-	}
+	total := n.countSelf(v)
 	own := n.Roster.Self()
 	delegations := distribution.Spread(n.Roster.Group(own.DataCentre), own.ID, i)
 	ask := iter.Mapper[distribution.Delegation, peer.ConvergeReply]{MaxGoroutines: distribution.FanOut}
@@ -113,6 +108,35 @@
 	return total
 }
 
+func (n *Node) countSelf(v declaration.Version) peer.ConvergeReply {
+	var own peer.ConvergeReply
+	if n.Configuration.Version() >= v {
+		own.InForce = 1
+	} else {
+		own.Lagging = []membership.ID{n.Roster.Self().ID}
+	}
+	if !n.IsReady() {
+		own.Unsure = 1
+		return own
+	}
+	own.Answered = 1
+	own.Highest = max(n.Configuration.Version(), n.held.version())
+	return own
+}
+
+// countRemoved counts the members of the data centre that were removed lately, besides the one that asks.
+func (n *Node) countRemoved(asking membership.ID) int {
+	count := 0
+	n.Roster.Do(func(m *membership.Machine) {
+		for _, r := range m.Removed(m.Self().DataCentre) {
+			if r.ID != asking {
+				count++
+			}
+		}
+	})
+	return count
+}
+
 // countDelegation asks the first candidate that answers to count its interval.
 func (n *Node) countDelegation(v declaration.Version, d distribution.Delegation) peer.ConvergeReply {
 	var missed peer.ConvergeReply
@@ -122,7 +146,7 @@
 			reply.Add(missed)
 			return reply
 		}
-		missed.Add(peer.ConvergeReply{Unreachable: []membership.ID{candidate.ID}})
+		missed.Add(peer.ConvergeReply{Unreachable: []membership.ID{candidate.ID}, Unsure: 1})
 	}
 	return missed
 }
@@ -158,7 +182,7 @@
 	}
 	var missed peer.ConvergeReply
 	for _, r := range group {
-		missed.Add(peer.ConvergeReply{Unreachable: []membership.ID{r.ID}})
+		missed.Add(peer.ConvergeReply{Unreachable: []membership.ID{r.ID}, Unsure: 1})
 	}
 	return missed
 }
--- a/daemon/control/distribute.go
+++ b/daemon/control/distribute.go
@@ -29,13 +29,26 @@
 	if newest > n.Configuration.Version() {
 		n.Recorder.Record(timeline.Event{Kind: timeline.KindVersionReceived, Version: uint64(newest), Subject: string(q.Header.From)})
 	}
-	if err := n.Configuration.Apply(q.Changes); err != nil {
+	if err := n.put(q); err != nil {
 		n.reportRefusal(err)
 		n.hear(q.Header)
 	}
 	n.forward(q.Changes, q.Interval)
 }
 
+// put puts pushed changes in force, by way of holders when they come from another data centre.
+func (n *Node) put(q *peer.PushRequest) error {
+	if n.isLocal(q.Header.From) {
+		return n.Configuration.Apply(q.Changes)
+	}
+	return n.enter(q.Changes)
+}
+
+func (n *Node) isLocal(id membership.ID) bool {
+	r, ok := n.Roster.Find(id)
+	return ok && r.DataCentre == n.Roster.Self().DataCentre
+}
+
 // reportRefusal logs a refused version; one that is merely out of order is pulled and not worth a warning.
 func (n *Node) reportRefusal(err error) {
 	var refused *versionlog.RefusedError
@@ -138,10 +151,13 @@
 		return err
 	}
 	n.Clock.Receive(reply.Header.Stamp)
-	if len(reply.Image) == 0 {
+	if len(reply.Image) > 0 {
+		return n.installImage(reply.Image)
+	}
+	if n.isLocal(reply.Header.From) {
 		return n.Configuration.Apply(reply.Changes)
 	}
-	return n.installImage(reply.Image)
+	return n.enter(reply.Changes)
 }
 
 func (n *Node) installImage(data []byte) error {
@@ -153,7 +169,7 @@
 	if err != nil {
 		return err
 	}
-	return n.Configuration.Install(state)
+	return n.install(state)
 }
 
 // readHead compares the head in the store with the version in force and catches up.
@@ -181,13 +197,13 @@
 		if err != nil {
 			return nil, err
 		}
-		return nil, n.Configuration.Install(loaded)
+		return nil, n.install(loaded)
 	}
 	changes, err := n.Log.Changes(ctx, state.Version())
 	if err != nil {
 		return nil, err
 	}
-	return changes, n.Configuration.Apply(changes)
+	return changes, n.enter(changes)
 }
 
 // imageCache keeps the encoded image of one version for the daemons that ask for it.
--- a/daemon/control/join.go
+++ b/daemon/control/join.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"siskinspar.example/declaration"
 	"siskinspar.example/membership"
 	"siskinspar.example/platform"
 )
@@ -87,34 +88,41 @@
 	return addresses
 }
 
-// reachHead brings the configuration to the head of the store, from a peer where possible.
+// reachHead brings the configuration to the head of the store, or to the floor that the peers know while the
+// store is down.
 func (n *Node) reachHead() bool {
 	ctx, cancel := n.storeContext()
 	defer cancel()
 	head, err := n.Log.Head(ctx)
 	n.noteStore(err)
+	floor := head.Version
 	if err != nil {
-		return false
+		var isCertain bool
+		if floor, isCertain = n.findFloor(); !isCertain {
+			return false
+		}
 	}
-	n.Configuration.RaiseFloor(head.Version)
+	n.Configuration.RaiseFloor(floor)
 	for _, r := range n.someMembers() {
-		if n.Configuration.Version() < head.Version {
+		if n.Configuration.Version() < floor {
 			_ = n.pullFrom(r.PeerAddress)
 		}
 	}
-	if n.Configuration.Snapshot() != nil && n.Configuration.Version() >= head.Version {
+	if n.Configuration.Snapshot() != nil && n.Configuration.Version() >= floor {
 		return true
 	}
-	state, err := n.Log.Load(ctx, head.Version)
-	if err != nil {
-		n.Logger.Warn("control: can't load the configuration", "version", head.Version, "error", err)
-		return false
+	return err == nil && n.loadHead(ctx, floor)
+}
+
+func (n *Node) loadHead(ctx context.Context, v declaration.Version) bool {
+	state, err := n.Log.Load(ctx, v)
+	if err == nil {
+		err = n.install(state)
 	}
-	if err := n.Configuration.Install(state); err != nil {
-		n.reportRefusal(err)
-		return false
+	if err != nil {
+		n.Logger.Warn("control: can't load the configuration", "version", v, "error", err)
 	}
-	return true
+	return err == nil
 }
 
 // someMembers returns a few random members of the data centre.
--- a/daemon/control/methods.go
+++ b/daemon/control/methods.go
@@ -6,6 +6,7 @@
 	"github.com/rotisserie/eris"
 
 	"siskinspar.example/daemon/peer"
+	"siskinspar.example/distribution"
 	"siskinspar.example/membership"
 )
 
@@ -30,6 +31,13 @@
 	return nil
 }
 
+// Hold remembers a version that is about to come in force in the data centre.
+func (m *Methods) Hold(q *peer.HoldRequest, a *peer.HoldReply) error {
+	m.node.held.raise(q.Version)
+	a.Header = m.node.header()
+	return nil
+}
+
 // Push takes in changes and passes them on to the interval.
 func (m *Methods) Push(q *peer.PushRequest, a *peer.PushReply) error {
 	m.node.receive(q)
@@ -73,6 +81,9 @@
 // Converge counts the members of an interval that have a version in force.
 func (m *Methods) Converge(q *peer.ConvergeRequest, a *peer.ConvergeReply) error {
 	*a = m.node.countInterval(q.Version, q.Interval)
+	if q.Interval == distribution.Everyone {
+		a.Unsure += m.node.countRemoved(q.Header.From)
+	}
 	a.Header = m.node.header()
 	return nil
 }
--- a/daemon/control/node.go
+++ b/daemon/control/node.go
@@ -32,17 +32,18 @@
 	Membership    membership.Timing
 	Distribution  distribution.Timing
 
-	workers   *workers
-	committer *committer
-	mu        sync.Mutex
-	follower  *distribution.Follower
-	forwarded forwarding
-	images    imageCache
-	isReady   atomic.Bool
-	isStoreUp atomic.Bool
-	lastTick  atomic.Int64
-	isHeld    atomic.Bool
-	done      chan struct{}
+	workers     *workers
+	committer   *committer
+	mu          sync.Mutex
+	follower    *distribution.Follower
+	forwarded   forwarding
+	images      imageCache
+	held        heldVersion
+	isReady     atomic.Bool
+	isStoreUp   atomic.Bool
+	lastTick    atomic.Int64
+	isSuspended atomic.Bool
+	done        chan struct{}
 }
 
 // workerCount is the number of workers that make calls to peers and the store.
--- a/daemon/control/pause.go
+++ b/daemon/control/pause.go
@@ -13,22 +13,22 @@
 func (n *Node) noteTick(now time.Time) {
 	last := time.Unix(0, n.lastTick.Swap(now.UnixNano()))
 	if now.Sub(last) >= pausePeriods*n.Membership.Period {
-		n.hold()
+		n.suspend()
 	}
 }
 
-// hold keeps the daemon from serving until a peer has confirmed what is current.
-func (n *Node) hold() {
+// suspend keeps the daemon from serving until a peer has confirmed what is current.
+func (n *Node) suspend() {
 	if len(n.Roster.Serving()) > 1 {
-		n.isHeld.Store(true)
+		n.isSuspended.Store(true)
 		n.Logger.Warn("control: loops stood still; calls are held until a peer answers")
 	}
 }
 
 // noteContact ends the hold when a peer answered that has nothing newer.
 func (n *Node) noteContact(h peer.Header) {
-	if n.isHeld.Load() && h.Version <= n.Configuration.Version() {
-		n.isHeld.Store(false)
+	if n.isSuspended.Load() && h.Version <= n.Configuration.Version() {
+		n.isSuspended.Store(false)
 		n.Logger.Info("control: calls are served again", "version", n.Configuration.Version())
 	}
 }
@@ -36,7 +36,7 @@
 // IsServing reports whether calls may be served: the daemon is ready, and its loops have not stood still
 // since it last heard what is current.
 func (n *Node) IsServing() bool {
-	if !n.isReady.Load() || n.isHeld.Load() {
+	if !n.isReady.Load() || n.isSuspended.Load() {
 		return false
 	}
 	return time.Now().UnixNano()-n.lastTick.Load() < int64(pausePeriods*n.Membership.Period)
--- a/daemon/peer/message.go
+++ b/daemon/peer/message.go
@@ -12,6 +12,7 @@
 const (
 	MethodProbe    = "Peer.Probe"
 	MethodIndirect = "Peer.Indirect"
+	MethodHold     = "Peer.Hold"
 	MethodPush     = "Peer.Push"
 	MethodPull     = "Peer.Pull"
 	MethodCompare  = "Peer.Compare"
@@ -51,6 +52,15 @@
 	IsReached bool
 }
 
+// HoldRequest asks the receiver to remember that a version is about to come in force in its data centre.
+type HoldRequest struct {
+	Header  Header
+	Version declaration.Version
+}
+
+// HoldReply tells that the receiver remembers the version.
+type HoldReply struct{ Header Header }
+
 // PushRequest carries new changes and the interval of members to which the receiver passes them on.
 type PushRequest struct {
 	Header   Header
@@ -112,6 +122,11 @@
 	InForce     int
 	Lagging     []membership.ID
 	Unreachable []membership.ID
+	// Highest is the highest version that a counted member has in force or holds.
+	Highest declaration.Version
+	// Answered counts the ready members, and Unsure those that can't be reached, are not ready or were removed lately.
+	Answered int
+	Unsure   int
 }
 
 // MaximumNamed bounds the members that a ConvergeReply names in each list.
@@ -120,6 +135,9 @@
 // Add merges the answer of a delegate.
 func (r *ConvergeReply) Add(o ConvergeReply) {
 	r.InForce += o.InForce
+	r.Highest = max(r.Highest, o.Highest)
+	r.Answered += o.Answered
+	r.Unsure += o.Unsure
 	r.Lagging = bounded(append(r.Lagging, o.Lagging...))
 	r.Unreachable = bounded(append(r.Unreachable, o.Unreachable...))
 }
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -311,6 +311,18 @@
 	return group
 }
 
+// Removed returns the members of a data centre that were removed and are still remembered.
+func (m *Machine) Removed(d DataCentre) []Record {
+	var removed []Record
+	for _, e := range m.members {
+		if e.record.DataCentre == d && e.record.Status == StatusDead {
+			removed = append(removed, e.record)
+		}
+	}
+	slices.SortFunc(removed, compareIDs)
+	return removed
+}
+
 // Serving returns all serving members in order of ID.
 func (m *Machine) Serving() []Record {
 	var all []Record
