test: prove versions and distribution under failure

Cause: the promises of the configuration had no proof, and a proof is only worth something when it fails without its mechanism.

A first test of the floor passed without it, since any peer was current; the peer that is behind replaces that gap.

--- a/cmd/integration/configuration_test.go
+++ b/cmd/integration/configuration_test.go
@@ -290,3 +290,29 @@
 	m.fault(platform.Fault{Mode: platform.ModeNone})
 	m.converges(1, m.daemons[1])
 }
+
+func TestAPeerThatIsBehindDoesNotTakeARestartedDaemonBack(t *testing.T) {
+	m := startGroup(t, 3, 1)
+	m.watch()
+	ahead, behind, restarted := m.daemons[0], m.daemons[1], m.daemons[2]
+	_, code := ahead.apply(m.declare(withTimeout(10)))
+	assert.Equal(t, code, 0)
+	behind.signal(syscall.SIGSTOP)
+	_, code = ahead.apply(m.declare(withTimeout(11)), "--wait-limit", "1s")
+	assert.Assert(t, code == 0 || code == 5, "exit code %d", code)
+	m.converges(2, ahead, restarted)
+	m.fault(platform.Fault{Mode: platform.ModeDown})
+	ahead.signal(syscall.SIGSTOP)
+	restarted.kill()
+	behind.signal(syscall.SIGCONT)
+	restarted.restart()
+	eventually(t, "the peers were asked for the floor", func() bool {
+		return strings.Contains(restarted.output.String(), "floor from peers")
+	})
+	response, _, err := restarted.do(http.MethodGet, "/none", "early", nil, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	ahead.signal(syscall.SIGCONT)
+	m.settle(0)
+	m.converges(2, m.daemons...)
+}
--- a/cmd/integration/harness_test.go
+++ b/cmd/integration/harness_test.go
@@ -146,9 +146,11 @@
 
 func (m *mesh) nextHost() string {
 	m.host++
-	return fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, m.subnet, m.host)
+	return fmt.Sprintf("127.%d.%d.%d", 100+m.pid(), m.subnet, m.host)
 }
 
+func (m *mesh) pid() int { return os.Getpid() % 100 }
+
 // instanceTemplate has short intervals, so that tests of failures don't take long.
 const instanceTemplate = `
 [instance]
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -39,6 +39,9 @@
 	PeerListener     net.Listener
 	OperatorListener net.Listener
 
+	// Dialer opens connections to other daemons; tests cut it to part them.
+	Dialer peer.Dialer
+
 	IsDraining atomic.Bool
 	// IsKilled makes the listeners cut the requests in flight when they stop.
 	IsKilled atomic.Bool
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"siskinspar.example/daemon/part/operators"
 	"siskinspar.example/daemon/part/peers"
 	"siskinspar.example/daemon/part/store"
+	"siskinspar.example/daemon/peer"
 	"siskinspar.example/daemon/settings"
 	"siskinspar.example/timeline"
 )
@@ -73,6 +74,8 @@
 	CallerListener   net.Listener
 	PeerListener     net.Listener
 	OperatorListener net.Listener
+	// Dialer may be given in place of a net.Dialer.
+	Dialer peer.Dialer
 
 	core  *core.Core
 	parts []running
@@ -97,7 +100,10 @@
 func (d *Daemon) Start() error {
 	d.core = &core.Core{
 		Settings: d.Settings, Logger: d.Logger, Registry: metrics.NewRegistry(),
-		CallerListener: d.CallerListener, PeerListener: d.PeerListener, OperatorListener: d.OperatorListener,
+		CallerListener: d.CallerListener, PeerListener: d.PeerListener, OperatorListener: d.OperatorListener, Dialer: d.Dialer,
+	}
+	if d.Dialer == nil {
+		d.core.Dialer = &net.Dialer{}
 	}
 	for _, p := range newParts() {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/daemon/part/callers/part.go
+++ b/daemon/part/callers/part.go
@@ -9,6 +9,7 @@
 
 	"siskinspar.example/daemon/core"
 	"siskinspar.example/daemon/entry"
+	"siskinspar.example/daemon/peer"
 	"siskinspar.example/daemon/settings"
 	"siskinspar.example/membership"
 	"siskinspar.example/request/routing"
@@ -63,9 +64,18 @@
 	return p.server.Start(ctx)
 }
 
+// dial bounds the set-up of a connection.
+func dial(d peer.Dialer) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		limited, cancel := context.WithTimeout(ctx, connectTimeout)
+		defer cancel()
+		return d.DialContext(limited, network, address)
+	}
+}
+
 func newTransport(c *core.Core) *http.Transport {
 	return &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		DialContext:           dial(c.Dialer),
 		TLSClientConfig:       c.Identity.ClientTLS(),
 		MaxIdleConns:          idleTotal,
 		MaxIdleConnsPerHost:   idlePerPeer,
--- a/daemon/part/connections/part.go
+++ b/daemon/part/connections/part.go
@@ -35,7 +35,7 @@
 	}
 	c.Identity = identity
 	c.Traffic = &peer.Traffic{}
-	c.Pool = &peer.Pool{Identity: identity, Traffic: c.Traffic}
+	c.Pool = &peer.Pool{Identity: identity, Traffic: c.Traffic, Dialer: c.Dialer}
 	p.done = make(chan struct{})
 	go func() {
 		<-ctx.Done()
--- a/daemon/peer/pool.go
+++ b/daemon/peer/pool.go
@@ -33,11 +33,18 @@
 	used  time.Time
 }
 
+// Dialer opens connections to peers.
+type Dialer interface {
+	// DialContext has the meaning of net.Dialer.DialContext.
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Pool keeps connections to peers; it is safe for concurrent use.
 type Pool struct {
-	// Identity and Traffic are set before use.
+	// Identity, Traffic and Dialer are set before use.
 	Identity *Identity
 	Traffic  *Traffic
+	Dialer   Dialer
 
 	mu      sync.Mutex
 	clients map[string]*client
@@ -156,7 +163,7 @@
 func (p *Pool) dial(address string) (*rpc.Client, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	conn, err := p.Dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -36,6 +36,7 @@
 	// Adjust changes the settings of each daemon before it starts.
 	Adjust func(*settings.Settings)
 
+	network         Network
 	platformAddress string
 	platformServer  *http.Server
 	nodes           []*Node
@@ -134,6 +135,7 @@
 		*address = l.Addr().String()
 		listeners = append(listeners, l)
 	}
+	n.mesh.network.note(n.peers, n.centre)
 	s := n.settings()
 	if n.mesh.Adjust != nil {
 		n.mesh.Adjust(s)
@@ -144,6 +146,7 @@
 	n.daemon = &daemon.Daemon{
 		Settings: s, Logger: n.mesh.Logger.With("instance", n.name),
 		PeerListener: listeners[0], CallerListener: listeners[1], OperatorListener: listeners[2],
+		Dialer: n.mesh.network.dialer(n.centre),
 	}
 	return n.daemon.Start()
 }
--- /dev/null
+++ b/standin/mesh/partition_test.go
@@ -0,0 +1,100 @@
+package mesh_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"siskinspar.example/daemon/settings"
+	"siskinspar.example/declaration"
+	"siskinspar.example/platform/standin"
+	"siskinspar.example/standin/mesh"
+	"siskinspar.example/versionlog"
+)
+
+const patience = 60 * time.Second
+
+// blindCentre is a data centre whose relays do not poll the store.
+const blindCentre = "blind"
+
+func startMesh(t *testing.T, perCentre int, centres ...string) *mesh.Mesh {
+	t.Helper()
+	m := &mesh.Mesh{Adjust: func(s *settings.Settings) {
+		s.Control.ProbePeriod = 100 * time.Millisecond
+		s.Control.Suspicion = 500 * time.Millisecond
+		s.Control.PollPeriod = 200 * time.Millisecond
+		if s.Instance.DataCentre == blindCentre {
+			s.Control.PollPeriod = time.Hour
+		}
+	}}
+	t.Cleanup(m.Stop)
+	assert.NilError(t, m.StartPlatform())
+	for _, c := range centres {
+		for i := range perCentre {
+			_, err := m.Add(fmt.Sprintf("%s-%d", c, i), c, nil)
+			assert.NilError(t, err)
+		}
+	}
+	settle(t, m)
+	return m
+}
+
+func settle(t *testing.T, m *mesh.Mesh) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	assert.NilError(t, m.Settle(ctx))
+}
+
+func submit(t *testing.T, n *mesh.Node, name string) versionlog.Result {
+	t.Helper()
+	e, err := declaration.NewServiceEntry(declaration.Service{Name: name, BackendServers: declaration.Selector{"service": name}})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return n.Daemon().Core().Node.Submit(ctx, versionlog.Submission{
+		RequestID: versionlog.RequestID(name), Operator: "test",
+		Proposals: []versionlog.Proposal{{Edit: declaration.Edit{Key: e.Key(), Content: e.Content()}}},
+	})
+}
+
+func awaitVersion(t *testing.T, v declaration.Version, nodes ...*mesh.Node) {
+	t.Helper()
+	for _, n := range nodes {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if got := n.Daemon().Core().Configuration.Version(); got < v {
+				return poll.Continue("%s has version %d", n.Name(), got)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(patience), poll.WithDelay(5*time.Millisecond))
+	}
+}
+
+func TestAPartedDataCentreGetsChangesFromTheStoreAndRejoins(t *testing.T) {
+	m := startMesh(t, 3, "a", "b", "c")
+	m.Network().Part("b")
+	assert.Equal(t, submit(t, m.Nodes()[0], "one").Version(), declaration.Version(1))
+	assert.Equal(t, submit(t, m.Nodes()[4], "two").Version(), declaration.Version(2))
+	awaitVersion(t, 2, m.Nodes()...)
+	m.Network().Join("b")
+	settle(t, m)
+}
+
+func TestADataCentreCutFromOthersAndFromTheStoreConvergesOnceItIsJoined(t *testing.T) {
+	m := startMesh(t, 2, "a", blindCentre)
+	assert.Equal(t, submit(t, m.Nodes()[0], "one").Version(), declaration.Version(1))
+	awaitVersion(t, 1, m.Nodes()...)
+	m.Network().Part(blindCentre)
+	assert.Equal(t, submit(t, m.Nodes()[1], "two").Version(), declaration.Version(2))
+	awaitVersion(t, 2, m.Nodes()[:2]...)
+	m.Platform.SetFault(standin.Fault{Mode: standin.ModeDown})
+	for _, n := range m.Nodes()[2:] {
+		assert.Equal(t, n.Daemon().Core().Configuration.Version(), declaration.Version(1))
+	}
+	m.Network().Join(blindCentre)
+	awaitVersion(t, 2, m.Nodes()...)
+}
