feat: run unrepeatable requests at most once over the mesh

Cause: an unrepeatable request that a caller sent again through another daemon ran again; nothing was agreed between daemons.

Change: the owner looks for a claim of the key, waits for a slot, writes the claim on condition that there is none, dispatches once on a connection of its own (net/http sends a request again on a reused connection that was closed) and stores the answer. A lost answer of the store is settled by the attempt's token; a resend asks the holder and waits, replays, takes over an attempt that the holder swears it never dispatched, or is told unknown. Ruled out: a lease on the claim (it lapses while its holder is paused), and a second write before dispatch (it only moves the window in which a death leaves the fate unknown).

Two writes and one read at the store for each unrepeatable request. A refusal speaks for its own attempt.

--- a/daemon/control/methods.go
+++ b/daemon/control/methods.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -38,6 +39,18 @@
 	return nil
 }
 
+// claimWait bounds the wait for an attempt within one remote call; the asking daemon calls again.
+const claimWait = time.Second
+
+// Claim tells what became of an attempt of this daemon to run an unrepeatable request.
+func (m *Methods) Claim(q *peer.ClaimRequest, a *peer.ClaimReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), claimWait)
+	defer cancel()
+	a.State = m.node.Claims.State(ctx, q.Token)
+	a.Header = m.node.header()
+	return nil
+}
+
 // Push takes in changes and passes them on to the interval.
 func (m *Methods) Push(q *peer.PushRequest, a *peer.PushReply) error {
 	m.node.receive(q)
--- a/daemon/control/node.go
+++ b/daemon/control/node.go
@@ -14,6 +14,7 @@
 	"siskinspar.example/declaration"
 	"siskinspar.example/distribution"
 	"siskinspar.example/membership"
+	"siskinspar.example/request/claim"
 	"siskinspar.example/timeline"
 	"siskinspar.example/versionlog/record"
 )
@@ -27,6 +28,7 @@
 	Clock         *timeline.Clock
 	Recorder      *timeline.Recorder
 	Logger        *slog.Logger
+	Claims        Claims
 	Seeds         []string
 	StoreTimeout  time.Duration
 	Membership    membership.Timing
@@ -46,6 +48,12 @@
 	done        chan struct{}
 }
 
+// Claims tells what became of this daemon's own attempts to run unrepeatable requests.
+type Claims interface {
+	// State waits until the attempt has ended, or the context does.
+	State(ctx context.Context, t claim.Token) claim.State
+}
+
 // workerCount is the number of workers that make calls to peers and the store.
 const workerCount = 32
 
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"siskinspar.example/daemon/backends"
+	"siskinspar.example/daemon/claimer"
 	"siskinspar.example/daemon/configuration"
 	"siskinspar.example/daemon/control"
 	"siskinspar.example/daemon/peer"
@@ -33,6 +34,7 @@
 	Pool          *peer.Pool
 	Traffic       *peer.Traffic
 	Node          *control.Node
+	Claimer       *claimer.Claimer
 
 	// The listeners are given by tests and demos that choose the ports; otherwise the parts open them.
 	CallerListener   net.Listener
--- a/daemon/owner/handler.go
+++ b/daemon/owner/handler.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"siskinspar.example/daemon/backends"
+	"siskinspar.example/daemon/claimer"
 	"siskinspar.example/daemon/peer"
-	"siskinspar.example/request/admission"
 	"siskinspar.example/request/forward"
 	"siskinspar.example/request/outcome"
 )
@@ -19,6 +19,7 @@
 // Handler serves calls from entry daemons; its fields are set before use.
 type Handler struct {
 	Backends *backends.Table
+	Claimer  *claimer.Claimer
 	Meter    Meter
 }
 
@@ -46,25 +47,30 @@
 	if !ok {
 		return outcome.NewRefusal(outcome.ReasonNoBackend)
 	}
-	deadline, _ := ctx.Deadline()
-	release, failure := b.Gate().Enter(ctx, admission.Request{
-		Intent: c.Intent, Priority: c.Priority, Deadline: deadline, IsProtected: c.IsProtected,
-	})
+	if c.IsUnrepeatable {
+		return h.serveOnce(ctx, w, r, c, b)
+	}
+	release, failure := h.enter(ctx, c, b)
 	if failure != nil {
 		return failure
 	}
 	defer release()
-	return h.send(ctx, w, r, c, b)
+	return send(ctx, w, r, b)
 }
 
-func (h *Handler) send(ctx context.Context, w http.ResponseWriter, r *http.Request, c Call, b *backends.Backend) *outcome.Failure {
+func send(ctx context.Context, w http.ResponseWriter, r *http.Request, b *backends.Backend) *outcome.Failure {
 	var isConnected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { isConnected.Store(true) }}
 	out, err := newBackendRequest(httptrace.WithClientTrace(ctx, trace), r, b.Address())
 	if err != nil {
 		return outcome.NewRefusal(outcome.ReasonUnreachable)
 	}
-	response, err := b.Transport(c.IsUnrepeatable).RoundTrip(out)
+	if r.ContentLength != 0 {
+		out.Body = r.Body
+	}
+	out.ContentLength = r.ContentLength
+	out.Trailer = r.Trailer
+	response, err := b.Transport(false).RoundTrip(out)
 	if err != nil {
 		return failureOf(ctx, isConnected.Load())
 	}
@@ -90,11 +96,6 @@
 	forward.CopyHeader(out.Header, r.Header)
 	out.Header.Del("Expect")
 	out.Host = r.Host
-	if r.ContentLength != 0 {
-		out.Body = r.Body
-	}
-	out.ContentLength = r.ContentLength
-	out.Trailer = r.Trailer
 	deadline, _ := ctx.Deadline()
 	forward.SetTimeout(out.Header, time.Until(deadline))
 	out.Header.Set(outcome.HeaderAttempt, outcome.InnerLayer)
--- a/daemon/part/control/part.go
+++ b/daemon/part/control/part.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"siskinspar.example/daemon/claimer"
 	"siskinspar.example/daemon/control"
 	"siskinspar.example/daemon/core"
 	"siskinspar.example/daemon/settings"
@@ -37,7 +38,11 @@
 func (p *Part) Run(ctx context.Context, c *core.Core) error {
 	timing := distribution.DefaultTiming
 	timing.Poll = c.Settings.Control.PollPeriod
+	c.Claimer = &claimer.Claimer{
+		Self: c.Settings.Instance.Name, Table: c.Log.Table, Objects: c.Log.Objects, Timeout: c.Settings.Platform.Timeout,
+	}
 	c.Node = &control.Node{
+		Claims:        c.Claimer,
 		Roster:        c.Roster,
 		Configuration: c.Configuration,
 		Pool:          c.Pool,
@@ -50,6 +55,7 @@
 		Membership:    membership.Timing{Period: c.Settings.Control.ProbePeriod},
 		Distribution:  timing,
 	}
+	c.Claimer.Holders = c.Node
 	c.Node.Start(ctx)
 	p.done = c.Node.Done()
 	return nil
--- a/daemon/part/peers/part.go
+++ b/daemon/part/peers/part.go
@@ -43,7 +43,7 @@
 		Identity: c.Identity,
 		Traffic:  c.Traffic,
 		Methods:  control.NewMethods(c.Node),
-		Calls:    &owner.Handler{Backends: c.Backends, Meter: core.Meter{Registry: c.Registry, Prefix: "owner"}},
+		Calls:    &owner.Handler{Backends: c.Backends, Claimer: c.Claimer, Meter: core.Meter{Registry: c.Registry, Prefix: "owner"}},
 	}
 	p.server = &core.Server{
 		Name: "peers", Address: c.Settings.Peers.Listen, Listener: c.PeerListener, Connections: c.Settings.Peers.Connections,
--- a/daemon/peer/message.go
+++ b/daemon/peer/message.go
@@ -4,6 +4,7 @@
 	"siskinspar.example/declaration"
 	"siskinspar.example/distribution"
 	"siskinspar.example/membership"
+	"siskinspar.example/request/claim"
 	"siskinspar.example/timeline"
 	"siskinspar.example/versionlog"
 )
@@ -13,6 +14,7 @@
 	MethodProbe    = "Peer.Probe"
 	MethodIndirect = "Peer.Indirect"
 	MethodHold     = "Peer.Hold"
+	MethodClaim    = "Peer.Claim"
 	MethodPush     = "Peer.Push"
 	MethodPull     = "Peer.Pull"
 	MethodCompare  = "Peer.Compare"
@@ -61,6 +63,18 @@
 // HoldReply tells that the receiver remembers the version.
 type HoldReply struct{ Header Header }
 
+// ClaimRequest asks what became of an attempt of the receiver to run an unrepeatable request.
+type ClaimRequest struct {
+	Header Header
+	Token  claim.Token
+}
+
+// ClaimReply tells the state of the attempt.
+type ClaimReply struct {
+	Header Header
+	State  claim.State
+}
+
 // PushRequest carries new changes and the interval of members to which the receiver passes them on.
 type PushRequest struct {
 	Header   Header
--- a/standin/mesh/network.go
+++ b/standin/mesh/network.go
@@ -24,6 +24,7 @@
 	network *Network
 }
 
+// Close closes the connection and forgets it.
 func (l *link) Close() error {
 	l.network.mu.Lock()
 	delete(l.network.open, l)
