feat: spill by score, hedge late reads, enforce limits, tell lost data centres

A lost data centre was told by no record at all, and limits were not enforced.

Change: two different choices; another data centre when its score is 1.25 times better; the owner's own load per slot on each answer; a retest after 5 s without calls; reads hedged after the learned 95th percentile within the retry budget, the loser cancelled; requests are refused that the pace of their priority would answer too late, on arrival and when their turn comes; limits divided over the daemons beside the backend servers, refused ones tried elsewhere; one reach record for a lost data centre, piggybacked on probes.

--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,15 @@
 	go vet $(MODULES)
 	$(BIN)/staticcheck $(MODULES)
 	$(BIN)/revive -config tools/revive.toml -formatter friendly $$(go list -f '{{.Dir}}' $(MODULES))
+
+.PHONY: capacity capacity-page
+
+# Each part is a run of its own, so that one does not disturb the next.
+capacity:
+	for part in Configuration Directory Wire Idle Herd Latency Calls Unrepeatable Convergence Process; do \
+		go test -run xxx -bench $$part -benchtime 1x ./capacity/slope -raw $(CURDIR)/docs/capacity.json || exit 1; \
+	done
+	$(MAKE) capacity-page
+
+capacity-page:
+	go test ./capacity -update
--- a/capacity/figure.go
+++ b/capacity/figure.go
@@ -21,11 +21,12 @@
 	High  float64 `json:"high"`
 	Unit  string  `json:"unit"`
 	Runs  int     `json:"runs"`
+	// Commit is the one that was measured.
+	Commit string `json:"commit"`
 }
 
 // Figures are the raw figures of one whole measurement.
 type Figures struct {
-	Commit  string   `json:"commit"`
 	Machine string   `json:"machine"`
 	Figures []Figure `json:"figures"`
 }
@@ -55,9 +56,9 @@
 	if err != nil && !os.IsNotExist(eris.Cause(err)) {
 		return err
 	}
-	f.Commit = commit
 	f.Machine = machine
 	for _, a := range added {
+		a.Commit = commit
 		f.Figures = slices.DeleteFunc(f.Figures, func(o Figure) bool { return o.Name == a.Name && o.Size == a.Size })
 		f.Figures = append(f.Figures, a)
 	}
--- a/capacity/slope/state_test.go
+++ b/capacity/slope/state_test.go
@@ -130,4 +130,3 @@
 	}
 	return float64(buffer.Len())
 }
-
--- a/daemon/control/directory.go
+++ b/daemon/control/directory.go
@@ -261,7 +261,11 @@
 		return n.countInterval(v, distribution.Everyone)
 	}
 	group := n.Roster.Group(d)
-	for _, relay := range distribution.Relays(group, d) {
+	relays := distribution.Relays(group, d)
+	if n.Roster.IsLost(d) {
+		relays = nil
+	}
+	for _, relay := range relays {
 		if reply, err := n.askConvergence(relay.PeerAddress, v, distribution.Everyone); err == nil {
 			return reply
 		}
--- a/daemon/control/distribute.go
+++ b/daemon/control/distribute.go
@@ -109,7 +109,7 @@
 	n.forward(changes, distribution.Everyone)
 	own := n.Roster.Self()
 	for _, d := range n.Roster.DataCentres() {
-		if d != own.DataCentre {
+		if d != own.DataCentre && !n.Roster.IsLost(d) {
 			n.workers.try(func() { n.pushToCentre(changes, d) })
 		}
 	}
--- a/daemon/control/loop.go
+++ b/daemon/control/loop.go
@@ -9,10 +9,13 @@
 	"github.com/sourcegraph/conc/iter"
 
 	"siskinspar.example/daemon/peer"
+	"siskinspar.example/distribution"
 	"siskinspar.example/membership"
 )
 
 const (
+	// centreProbes is the number of random members of a data centre that are tried besides its relays.
+	centreProbes = 2
 	// distributionStep is the time between two looks at the follower.
 	distributionStep = 50 * time.Millisecond
 	// comparisonPeriod is the mean time between two comparisons of the directory with another daemon.
@@ -80,6 +83,34 @@
 	var actions []membership.Action
 	n.Roster.Do(func(m *membership.Machine) { actions = m.Tick(now) })
 	n.act(actions)
+	if n.Roster.IsRelay() {
+		n.workers.try(n.probeCentre)
+	}
+}
+
+// probeCentre tries some members of another data centre, each data centre in turn.
+func (n *Node) probeCentre() {
+	d, ok := n.nextCentre()
+	if !ok {
+		return
+	}
+	group := n.Roster.Group(d)
+	targets := distribution.Relays(group, d)
+	for range centreProbes {
+		targets = append(targets, group[rand.IntN(len(group))])
+	}
+	isAnswered := slices.ContainsFunc(targets, func(r membership.Record) bool { return n.probeOnce(r) == nil })
+	n.Roster.Do(func(m *membership.Machine) { m.HandleRound(time.Now(), d, isAnswered) })
+}
+
+// nextCentre returns the data centre after the last one.
+func (n *Node) nextCentre() (membership.DataCentre, bool) {
+	own := n.Roster.Self().DataCentre
+	centres := slices.DeleteFunc(n.Roster.DataCentres(), func(d membership.DataCentre) bool { return d == own })
+	if len(centres) == 0 {
+		return "", false
+	}
+	return centres[int(n.centreTurn.Add(1))%len(centres)], true
 }
 
 func (n *Node) act(actions []membership.Action) {
--- a/daemon/control/node.go
+++ b/daemon/control/node.go
@@ -41,6 +41,7 @@
 	forwarded   forwarding
 	images      imageCache
 	held        heldVersion
+	centreTurn  atomic.Uint64
 	isReady     atomic.Bool
 	isStoreUp   atomic.Bool
 	lastTick    atomic.Int64
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -55,6 +55,11 @@
 	Prefix   string
 }
 
+// CountHedge implements the meter of the entry handler.
+func (m Meter) CountHedge() {
+	metrics.GetOrRegisterCounter(m.Prefix+".hedged", m.Registry).Inc(1)
+}
+
 // Count implements the meters of the entry and owner handlers.
 func (m Meter) Count(o outcome.Outcome, r outcome.Reason) {
 	name := m.Prefix + "." + string(o)
--- a/daemon/entry/handler.go
+++ b/daemon/entry/handler.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"siskinspar.example/daemon/owner"
 	"siskinspar.example/daemon/peer"
 	"siskinspar.example/declaration"
@@ -49,6 +51,8 @@
 type Meter interface {
 	// Count adds one call with its outcome and, unless it ran, the reason.
 	Count(o outcome.Outcome, r outcome.Reason)
+	// CountHedge adds one second attempt of a late read.
+	CountHedge()
 }
 
 // Handler serves the caller listener; its exported fields are set before use.
@@ -63,8 +67,10 @@
 	Meter         Meter
 	Router        *routing.Router
 
-	mu     sync.Mutex
-	budget retry.Budget
+	mu       sync.Mutex
+	budget   retry.Budget
+	delays   map[string]*routing.Delay
+	attempts conc.WaitGroup
 }
 
 // call is one request on its way; it holds one snapshot from first byte to last.
@@ -141,13 +147,6 @@
 	h.Meter.Count(outcome.Ran, "")
 }
 
-func resultOf(ctx context.Context) routing.Result {
-	if ctx.Err() != nil {
-		return routing.ResultCancelled
-	}
-	return routing.ResultFailed
-}
-
 func (h *Handler) refuse(w http.ResponseWriter, f *outcome.Failure) {
 	h.Meter.Count(f.Outcome(), f.Reason())
 	f.WriteTo(w)
@@ -162,7 +161,7 @@
 			return nil, failure
 		}
 		c.tried = append(c.tried, candidate.Endpoint())
-		a, refused := h.send(ctx, c, candidate)
+		a, refused := h.offer(ctx, c, n, candidate)
 		if refused == nil {
 			return a, nil
 		}
@@ -190,8 +189,12 @@
 	if f.Outcome() == outcome.NotRun {
 		return isElsewherePossible(f.Reason())
 	}
-	isOutermost := c.request.Header.Get(outcome.HeaderAttempt) != outcome.InnerLayer
-	return isOutermost && isRepeatable(c) && f.Reason() != outcome.ReasonDeadline && h.spend()
+	return isOutermost(c) && isRepeatable(c) && f.Reason() != outcome.ReasonDeadline && h.spend()
+}
+
+// isOutermost reports whether no other layer of the mesh retries the request.
+func isOutermost(c *call) bool {
+	return c.request.Header.Get(outcome.HeaderAttempt) != outcome.InnerLayer
 }
 
 // isRepeatable takes the operators' word and, besides, repeats only methods that HTTP calls idempotent.
@@ -209,7 +212,7 @@
 // isElsewherePossible reports whether another owner could take a request that was refused for the reason.
 func isElsewherePossible(r outcome.Reason) bool {
 	switch r {
-	case outcome.ReasonDraining, outcome.ReasonQueueFull, outcome.ReasonNoBackend, outcome.ReasonUnreachable, outcome.ReasonDisplaced:
+	case outcome.ReasonDraining, outcome.ReasonQueueFull, outcome.ReasonNoBackend, outcome.ReasonUnreachable, outcome.ReasonDisplaced, outcome.ReasonLimit:
 		return true
 	}
 	return false
--- a/daemon/gate/gate.go
+++ b/daemon/gate/gate.go
@@ -130,6 +130,13 @@
 	g.controller.Resume()
 }
 
+// LoadPerSlot returns the running and waiting requests for each slot.
+func (g *Gate) LoadPerSlot() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return float64(g.controller.Running()+g.controller.Waiting()) / float64(max(1, g.controller.Slots()))
+}
+
 // Load returns the number of running and of waiting requests.
 func (g *Gate) Load() (running, waiting int) {
 	g.mu.Lock()
--- a/daemon/owner/handler.go
+++ b/daemon/owner/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 type Handler struct {
 	Backends *backends.Table
 	Claimer  *claimer.Claimer
+	Limits   *Limits
 	Meter    Meter
 }
 
@@ -47,6 +49,12 @@
 	if !ok {
 		return outcome.NewRefusal(outcome.ReasonNoBackend)
 	}
+	w.Header().Set(outcome.HeaderLoad, strconv.FormatFloat(b.Gate().LoadPerSlot(), 'f', 2, 64))
+	leave, failure := h.Limits.Enter(c)
+	if failure != nil {
+		return failure
+	}
+	defer leave()
 	if c.IsUnrepeatable {
 		return h.serveOnce(ctx, w, r, c, b)
 	}
--- a/daemon/part/peers/part.go
+++ b/daemon/part/peers/part.go
@@ -8,6 +8,7 @@
 	"siskinspar.example/daemon/owner"
 	"siskinspar.example/daemon/peer"
 	"siskinspar.example/daemon/settings"
+	"siskinspar.example/membership"
 )
 
 // Part serves the peer listener.
@@ -43,7 +44,10 @@
 		Identity: c.Identity,
 		Traffic:  c.Traffic,
 		Methods:  control.NewMethods(c.Node),
-		Calls:    &owner.Handler{Backends: c.Backends, Claimer: c.Claimer, Meter: core.Meter{Registry: c.Registry, Prefix: "owner"}},
+		Calls: &owner.Handler{
+			Backends: c.Backends, Claimer: c.Claimer, Meter: core.Meter{Registry: c.Registry, Prefix: "owner"},
+			Limits: &owner.Limits{Self: membership.ID(c.Settings.Instance.Name), State: c.Configuration, Directory: c.Roster},
+		},
 	}
 	p.server = &core.Server{
 		Name: "peers", Address: c.Settings.Peers.Listen, Listener: c.PeerListener, Connections: c.Settings.Peers.Connections,
--- a/daemon/roster/index.go
+++ b/daemon/roster/index.go
@@ -21,6 +21,7 @@
 	route    snapshot.Route
 	byMember map[membership.ID][]routing.Candidate
 	list     []routing.Candidate
+	isUsed   bool
 }
 
 func (x *index) touch(ids []membership.ID) {
@@ -42,30 +43,41 @@
 		x.touched = map[membership.ID]bool{}
 	}
 	if x.version != n.Version() {
-		x.prune(n)
+		x.prune(n.Version())
 	}
 	r.refresh()
 	name := route.Intent().Name
 	if c, ok := x.routes[name]; ok && c.isFor(route) {
-		return c.list
+		c.isUsed = true
+		return r.reachable(c.list)
 	}
-	c := &candidates{route: route, byMember: map[membership.ID][]routing.Candidate{}}
+	c := &candidates{route: route, isUsed: true, byMember: map[membership.ID][]routing.Candidate{}}
 	for _, member := range r.Machine.Serving() {
 		c.update(member)
 	}
 	c.rebuild()
 	x.routes[name] = c
-	return c.list
+	return r.reachable(c.list)
 }
 
-// prune drops the routes that a new version has changed or removed.
-func (x *index) prune(n *snapshot.Snapshot) {
+// reachable leaves out the backend servers in lost data centres.
+func (r *Roster) reachable(list []routing.Candidate) []routing.Candidate {
+	isLost := func(c routing.Candidate) bool { return r.Machine.IsLost(c.DataCentre()) }
+	if !slices.ContainsFunc(list, isLost) {
+		return list
+	}
+	return slices.DeleteFunc(slices.Clone(list), isLost)
+}
+
+// prune drops the routes that were not asked for since the version before.
+func (x *index) prune(v declaration.Version) {
 	for name, c := range x.routes {
-		if route, ok := n.Find(name); !ok || !c.isFor(route) {
+		if !c.isUsed {
 			delete(x.routes, name)
 		}
+		c.isUsed = false
 	}
-	x.version = n.Version()
+	x.version = v
 }
 
 // isFor reports whether the candidates are those of the route: declarations that a version leaves alone keep their identity.
--- a/daemon/roster/roster.go
+++ b/daemon/roster/roster.go
@@ -80,6 +80,13 @@
 	return distribution.Relays(r.Group(d), d)
 }
 
+// IsLost reports whether a data centre can't be reached from the own one.
+func (r *Roster) IsLost(d membership.DataCentre) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Machine.IsLost(d)
+}
+
 // IsRelay reports whether this daemon is a relay of its data centre.
 func (r *Roster) IsRelay() bool {
 	r.mu.Lock()
--- a/declaration/snapshot/snapshot.go
+++ b/declaration/snapshot/snapshot.go
@@ -85,11 +85,10 @@
 }
 
 func (n *Snapshot) add(s declaration.Set, i *declaration.Intent) error {
-	target, ok := s.Find(declaration.Key{Kind: declaration.KindService, Name: i.Target})
+	r, ok := NewRoute(s, i)
 	if !ok {
 		return eris.Errorf("intent/%s: no service %q", i.Name, i.Target)
 	}
-	r := Route{intent: i, service: target.Service()}
 	at := place{strings.ToLower(i.Match.Host), i.Match.PathPrefix}
 	n.routes[at] = append(n.routes[at], r)
 	n.intents[i.Name] = r
@@ -161,6 +160,15 @@
 	return *general, true
 }
 
+// NewRoute returns the route of an intent of a set, whether or not the proxy carries it; false means that its service is missing.
+func NewRoute(s declaration.Set, i *declaration.Intent) (Route, bool) {
+	e, ok := s.Find(declaration.Key{Kind: declaration.KindService, Name: i.Target})
+	if !ok {
+		return Route{}, false
+	}
+	return Route{intent: i, service: e.Service()}, true
+}
+
 // Intent returns the intent of the route.
 func (r Route) Intent() *declaration.Intent { return r.intent }
 
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -51,6 +51,7 @@
 	digests  map[DataCentre]GroupDigest
 	queue    gossipQueue
 	rotation []ID
+	reaches  map[DataCentre]*reach
 	lastTick time.Time
 	events   []Event
 	touched  []ID
@@ -59,7 +60,7 @@
 
 // NewMachine returns a machine that knows only the instance itself.
 func NewMachine(self Record, t Timing, r *rand.Rand) *Machine {
-	m := &Machine{Timing: t, Random: r, self: self, members: map[ID]*member{}, centres: map[DataCentre]map[ID]bool{}, groups: map[DataCentre][]Record{}, digests: map[DataCentre]GroupDigest{}}
+	m := &Machine{Timing: t, Random: r, self: self, members: map[ID]*member{}, centres: map[DataCentre]map[ID]bool{}, groups: map[DataCentre][]Record{}, reaches: map[DataCentre]*reach{}, digests: map[DataCentre]GroupDigest{}}
 	m.store(self, time.Time{})
 	m.queue.add(self.ID, 0)
 	return m
@@ -170,7 +171,7 @@
 
 // NewProbe returns the next probe message.
 func (m *Machine) NewProbe() Probe {
-	return Probe{From: m.self.ID, Incarnation: m.self.Incarnation, Gossip: m.takeGossip()}
+	return Probe{From: m.self.ID, Incarnation: m.self.Incarnation, Gossip: m.takeGossip(), Reach: m.reachRecords()}
 }
 
 // HandleProbe merges the gossip of a probe and returns the answer.
@@ -179,15 +180,19 @@
 // it may have ended before it could hear it.
 func (m *Machine) HandleProbe(now time.Time, p Probe) Ack {
 	m.Merge(now, p.Gossip)
+	m.MergeReach(p.Reach)
 	gossip := m.takeGossip()
 	if r, ok := m.Find(p.From); ok && (r.Status != StatusAlive || r.Incarnation > p.Incarnation) {
 		gossip = append(gossip, r)
 	}
-	return Ack{From: m.self.ID, Gossip: gossip}
+	return Ack{From: m.self.ID, Gossip: gossip, Reach: m.reachRecords()}
 }
 
 // HandleAck merges the gossip of an answer.
-func (m *Machine) HandleAck(now time.Time, a Ack) { m.Merge(now, a.Gossip) }
+func (m *Machine) HandleAck(now time.Time, a Ack) {
+	m.Merge(now, a.Gossip)
+	m.MergeReach(a.Reach)
+}
 
 // HandleProbeFailure returns the indirect probe that follows a direct one without answer.
 func (m *Machine) HandleProbeFailure(now time.Time, target ID) []Action {
--- a/membership/message.go
+++ b/membership/message.go
@@ -5,12 +5,14 @@
 	From        ID
 	Incarnation uint64
 	Gossip      []Record
+	Reach       []ReachRecord
 }
 
 // Ack answers a probe and carries gossip.
 type Ack struct {
 	From   ID
 	Gossip []Record
+	Reach  []ReachRecord
 }
 
 // Event is a change of the membership for the time line.
@@ -32,6 +34,9 @@
 	EventLeft      EventKind = "member-left"
 	// EventRefuted tells that this instance was suspected or removed by others and raised its incarnation.
 	EventRefuted EventKind = "self-refuted"
+	// EventCentreLost and EventCentreBack tell that a whole data centre can't be reached, and can be again.
+	EventCentreLost EventKind = "data-centre-lost"
+	EventCentreBack EventKind = "data-centre-back"
 	// EventPaused tells that this instance ran no step for several periods.
 	EventPaused EventKind = "self-paused"
 )
--- a/request/admission/controller.go
+++ b/request/admission/controller.go
@@ -15,6 +15,8 @@
 	longShare = 0.8
 	// smoothing is the weight of a new service time.
 	smoothing = 0.1
+	// usefulShare is the share of the time left within which a request has to be answered to be worth its wait.
+	usefulShare = 0.9
 	// samplesToClass is the number of answers before a route is classed.
 	samplesToClass = 8
 )
@@ -76,6 +78,28 @@
 	started time.Time
 }
 
+// pace is how fast the requests of one priority leave the queue.
+type pace struct {
+	gap  time.Duration
+	last time.Time
+}
+
+// note takes in a request that left the queue.
+func (p *pace) note(now time.Time) {
+	if !p.last.IsZero() {
+		p.gap += time.Duration(smoothing * float64(now.Sub(p.last)-p.gap))
+	}
+	p.last = now
+}
+
+// wait estimates how long a request with so many of its priority ahead waits; a pace that has stopped counts as it stands.
+func (p *pace) wait(now time.Time, ahead int) time.Duration {
+	if p.last.IsZero() {
+		return 0
+	}
+	return time.Duration(ahead) * max(p.gap, now.Sub(p.last))
+}
+
 type route struct {
 	time    time.Duration
 	samples int
@@ -88,13 +112,14 @@
 	running    map[Ticket]entry
 	waiting    []entry
 	routes     map[string]*route
+	paces      map[int]*pace
 	next       Ticket
 	isDraining bool
 }
 
 // NewController returns a controller for a backend server that started at the given time.
 func NewController(l Limits, started time.Time) *Controller {
-	return &Controller{limits: l, started: started, running: map[Ticket]entry{}, routes: map[string]*route{}}
+	return &Controller{limits: l, started: started, running: map[Ticket]entry{}, routes: map[string]*route{}, paces: map[int]*pace{}}
 }
 
 // SetLimits changes the bounds; running requests keep their slots.
@@ -114,6 +139,9 @@
 // Resume ends a drain.
 func (c *Controller) Resume() { c.isDraining = false }
 
+// Slots returns the number of requests that may run at once.
+func (c *Controller) Slots() int { return c.limits.Slots }
+
 // Running returns the number of requests that hold a slot.
 func (c *Controller) Running() int { return len(c.running) }
 
@@ -174,6 +202,11 @@
 		}
 		e := c.waiting[i]
 		c.waiting = slices.Delete(c.waiting, i, i+1)
+		c.pace(e.request).note(now)
+		if c.isTooLate(now, e.request) {
+			notices = append(notices, Notice{ticket: e.ticket, reason: outcome.ReasonDeadline})
+			continue
+		}
 		c.dispatch(now, e)
 		notices = append(notices, Notice{ticket: e.ticket})
 	}
@@ -227,16 +260,41 @@
 	})
 }
 
-// isHopeless reports whether a request would wait beyond its deadline behind the queue as it stands.
+// isHopeless reports whether a request would be answered too late behind those of its priority that wait.
 func (c *Controller) isHopeless(now time.Time, q Request) bool {
 	ahead := 0
 	for _, e := range c.waiting {
-		if rank(e.request) <= rank(q) {
+		if rank(e.request) == rank(q) {
 			ahead++
 		}
 	}
-	wait := c.typical() * time.Duration(ahead) / time.Duration(c.openSlots(now))
-	return !now.Add(wait).Before(q.Deadline)
+	if ahead == 0 {
+		return false
+	}
+	needed := c.pace(q).wait(now, ahead) + c.expected(q.Intent)
+	return float64(needed) > usefulShare*float64(q.Deadline.Sub(now))
+}
+
+// isTooLate reports whether a request whose turn has come can no longer be answered before its deadline.
+func (c *Controller) isTooLate(now time.Time, q Request) bool {
+	return now.Add(c.expected(q.Intent)).After(q.Deadline)
+}
+
+// expected returns the learned service time of a route, or 0 before it is classed.
+func (c *Controller) expected(intent string) time.Duration {
+	if r, ok := c.routes[intent]; ok && r.samples >= samplesToClass {
+		return r.time
+	}
+	return 0
+}
+
+func (c *Controller) pace(q Request) *pace {
+	p, ok := c.paces[rank(q)]
+	if !ok {
+		p = &pace{}
+		c.paces[rank(q)] = p
+	}
+	return p
 }
 
 func (c *Controller) openSlots(now time.Time) int {
--- /dev/null
+++ b/request/admission/controller_test.go
@@ -0,0 +1,140 @@
+package admission_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinspar.example/declaration"
+	"siskinspar.example/request/admission"
+	"siskinspar.example/request/outcome"
+)
+
+var start = time.Unix(1000, 0)
+
+func ask(intent string, p declaration.Priority, wait time.Duration) admission.Request {
+	return admission.Request{Intent: intent, Priority: p, Deadline: start.Add(wait)}
+}
+
+func TestWhoGetsASlotAndWhoWaitsOrIsRefused(t *testing.T) {
+	low, high := declaration.PriorityLow, declaration.PriorityHigh
+	for _, c := range []struct {
+		name     string
+		limits   admission.Limits
+		before   []admission.Request
+		request  admission.Request
+		verdict  admission.Verdict
+		reason   outcome.Reason
+		displace outcome.Reason
+	}{
+		{"a free slot is taken", admission.Limits{Slots: 1}, nil, ask("a", low, time.Minute), admission.VerdictDispatch, "", ""},
+		{"a full server makes wait", admission.Limits{Slots: 1, Queue: 1}, []admission.Request{ask("a", low, time.Minute)}, ask("a", low, time.Minute), admission.VerdictWait, "", ""},
+		{"a full queue refuses", admission.Limits{Slots: 1, Queue: 1}, []admission.Request{ask("a", low, time.Minute), ask("a", low, time.Minute)}, ask("a", low, time.Minute), admission.VerdictRefuse, outcome.ReasonQueueFull, ""},
+		{"a higher priority displaces a lower one", admission.Limits{Slots: 1, Queue: 1}, []admission.Request{ask("a", low, time.Minute), ask("a", low, time.Minute)}, ask("b", high, time.Minute), admission.VerdictWait, "", outcome.ReasonDisplaced},
+		{"a lower priority displaces nobody", admission.Limits{Slots: 1, Queue: 1}, []admission.Request{ask("a", high, time.Minute), ask("a", high, time.Minute)}, ask("b", low, time.Minute), admission.VerdictRefuse, outcome.ReasonQueueFull, ""},
+		{"a protected slot is kept from others", admission.Limits{Slots: 2, Queue: 1, ProtectedSlots: 1}, []admission.Request{ask("a", high, time.Minute)}, ask("a", high, time.Minute), admission.VerdictWait, "", ""},
+		{"a protected request takes it", admission.Limits{Slots: 2, ProtectedSlots: 1}, []admission.Request{ask("a", high, time.Minute)}, admission.Request{Intent: "l", Priority: low, Deadline: start.Add(time.Minute), IsProtected: true}, admission.VerdictDispatch, "", ""},
+		{"a cold server opens one slot first", admission.Limits{Slots: 10, Queue: 1, WarmUp: time.Minute}, []admission.Request{ask("a", high, time.Minute)}, ask("a", high, time.Minute), admission.VerdictWait, "", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			controller := admission.NewController(c.limits, start)
+			for _, q := range c.before {
+				controller.Arrive(start, q)
+			}
+			_, verdict, reason, notices := controller.Arrive(start, c.request)
+			assert.Equal(t, verdict, c.verdict)
+			assert.Equal(t, reason, c.reason)
+			if c.displace != "" {
+				assert.Equal(t, notices[0].Reason(), c.displace)
+			}
+		})
+	}
+}
+
+func TestAWaitingRequestIsRefusedAtItsDeadline(t *testing.T) {
+	c := admission.NewController(admission.Limits{Slots: 1, Queue: 2}, start)
+	c.Arrive(start, ask("a", declaration.PriorityHigh, time.Minute))
+	ticket, _, _, _ := c.Arrive(start, ask("a", declaration.PriorityHigh, time.Second))
+	notices := c.Tick(start.Add(2 * time.Second))
+	assert.Equal(t, len(notices), 1)
+	assert.Equal(t, notices[0].Ticket(), ticket)
+	assert.Equal(t, notices[0].Reason(), outcome.ReasonDeadline)
+}
+
+func TestADrainRefusesWaitingAndNewRequestsAndKeepsRunningOnes(t *testing.T) {
+	c := admission.NewController(admission.Limits{Slots: 1, Queue: 2}, start)
+	running, _, _, _ := c.Arrive(start, ask("a", declaration.PriorityHigh, time.Minute))
+	c.Arrive(start, ask("a", declaration.PriorityHigh, time.Minute))
+	assert.Equal(t, len(c.Drain()), 1)
+	_, verdict, reason, _ := c.Arrive(start, ask("a", declaration.PriorityHigh, time.Minute))
+	assert.Equal(t, verdict, admission.VerdictRefuse)
+	assert.Equal(t, reason, outcome.ReasonDraining)
+	assert.Equal(t, c.Running(), 1)
+	assert.Equal(t, len(c.Finish(start, running)), 0)
+	assert.Equal(t, c.Running(), 0)
+}
+
+func TestLongWorkLeavesSlotsToShortWork(t *testing.T) {
+	c := admission.NewController(admission.Limits{Slots: 10, Queue: 100}, start)
+	now := start
+	for range 20 {
+		for intent, took := range map[string]time.Duration{"short": 10 * time.Millisecond, "long": 400 * time.Millisecond} {
+			ticket, _, _, _ := c.Arrive(now, ask(intent, declaration.PriorityNormal, time.Hour))
+			now = now.Add(took)
+			c.Finish(now, ticket)
+		}
+	}
+	dispatched := 0
+	for range 20 {
+		if _, verdict, _, _ := c.Arrive(now, ask("long", declaration.PriorityNormal, time.Hour)); verdict == admission.VerdictDispatch {
+			dispatched++
+		}
+	}
+	assert.Equal(t, dispatched, 8)
+	_, verdict, _, _ := c.Arrive(now, ask("short", declaration.PriorityNormal, time.Hour))
+	assert.Equal(t, verdict, admission.VerdictDispatch)
+}
+
+// TestSlotsAreNeverExceededAndNoTicketIsLost drives the controller with random arrivals in virtual time.
+func TestSlotsAreNeverExceededAndNoTicketIsLost(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 7))
+	c := admission.NewController(admission.Limits{Slots: 4, Queue: 8, ProtectedSlots: 1}, start)
+	now := start
+	open := map[admission.Ticket]bool{}
+	var running []admission.Ticket
+	settle := func(notices []admission.Notice) {
+		for _, n := range notices {
+			assert.Assert(t, open[n.Ticket()], "a notice for a ticket that does not wait")
+			delete(open, n.Ticket())
+			if n.IsDispatch() {
+				running = append(running, n.Ticket())
+			}
+		}
+	}
+	for range 20000 {
+		now = now.Add(time.Duration(random.IntN(5)) * time.Millisecond)
+		switch {
+		case random.IntN(2) == 0 && len(running) > 0:
+			i := random.IntN(len(running))
+			ticket := running[i]
+			running = append(running[:i], running[i+1:]...)
+			settle(c.Finish(now, ticket))
+		default:
+			p := declaration.Priorities()[random.IntN(3)]
+			q := admission.Request{Intent: string(p), Priority: p, Deadline: now.Add(time.Duration(random.IntN(100)) * time.Millisecond), IsProtected: random.IntN(4) == 0}
+			ticket, verdict, _, notices := c.Arrive(now, q)
+			settle(notices)
+			switch verdict {
+			case admission.VerdictDispatch:
+				running = append(running, ticket)
+			case admission.VerdictWait:
+				open[ticket] = true
+			}
+		}
+		assert.Assert(t, c.Running() <= 4)
+		assert.Equal(t, c.Running(), len(running))
+		assert.Equal(t, c.Waiting(), len(open))
+	}
+}
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -52,6 +52,8 @@
 	HeaderBackend = "Siskinspar-Backend"
 	// HeaderEntry holds the instance that took the call, between daemons.
 	HeaderEntry = "Siskinspar-Entry"
+	// HeaderLoad holds the requests that run and wait at a backend server for each of its slots, between daemons.
+	HeaderLoad = "Siskinspar-Load"
 	// HeaderAttempt, with the value InnerLayer, tells that an outer layer of the mesh retries.
 	HeaderAttempt = "Siskinspar-Attempt"
 	// HeaderKey holds the caller's key of an unrepeatable request.
--- a/request/routing/endpoint.go
+++ b/request/routing/endpoint.go
@@ -54,7 +54,7 @@
 
 // observation is what this entry daemon has seen of one endpoint.
 type observation struct {
-	outstanding  map[uint64]time.Time
+	outstanding  map[uint64]outstandingCall
 	latency      time.Duration
 	samples      int
 	failures     int
@@ -63,12 +63,22 @@
 	fullUntil    time.Time
 	isProbation  bool
 	seen         time.Time
+	load         float64
+	loadAt       time.Time
+}
+
+// outstandingCall is a call that has not ended; once its answer has begun it no longer shows a stall.
+type outstandingCall struct {
+	started    time.Time
+	isAnswered bool
 }
 
 func (o *observation) oldest(now time.Time) time.Duration {
 	var age time.Duration
-	for _, started := range o.outstanding {
-		age = max(age, now.Sub(started))
+	for _, c := range o.outstanding {
+		if !c.isAnswered {
+			age = max(age, now.Sub(c.started))
+		}
 	}
 	return age
 }
--- a/request/routing/router.go
+++ b/request/routing/router.go
@@ -25,6 +25,13 @@
 	ejectionShare = 0.5
 	// fullTime is how long an endpoint that refused a call for its load is passed over.
 	fullTime = 100 * time.Millisecond
+	// spillFactor is how many times the score of a backend server in another data centre may exceed its own value
+	// before it counts as worse than one nearby; hysteresis keeps calls near.
+	spillFactor = 1.25
+	// retestPeriod is how long an endpoint may go unused before one call finds out how it does now.
+	retestPeriod = 5 * time.Second
+	// loadLifetime is how long the load that an owner stated counts.
+	loadLifetime = 250 * time.Millisecond
 	// observationLifetime is how long an unused observation is kept.
 	observationLifetime = 10 * time.Minute
 )
@@ -50,21 +57,40 @@
 	number   uint64
 }
 
-// Pick chooses the better of two random candidates, nearest data centre first.
+// Pick chooses the better of two random candidates of the nearest data centre, or one of another data centre that
+// is better still.
 //
 // Endpoints in tried are left out. The result is false when none is left.
 func (r *Router) Pick(now time.Time, candidates []Candidate, tried []Endpoint) (Candidate, bool) {
-	usable := r.usable(now, candidates, tried)
+	usable := r.open(now, r.usable(now, candidates, tried))
 	if len(usable) == 0 {
 		return Candidate{}, false
 	}
-	near := r.preferred(now, usable)
-	first := near[r.Random.IntN(len(near))]
-	second := near[r.Random.IntN(len(near))]
-	if r.score(now, second) < r.score(now, first) {
-		return second, true
+	near, far := r.divide(usable)
+	if len(near) == 0 {
+		return r.better(now, far), true
 	}
-	return first, true
+	best := r.better(now, near)
+	if len(far) == 0 {
+		return best, true
+	}
+	if other := r.better(now, far); r.score(now, other)*spillFactor < r.score(now, best) {
+		return other, true
+	}
+	return best, true
+}
+
+// better returns the better of two different candidates drawn at random.
+func (r *Router) better(now time.Time, from []Candidate) Candidate {
+	i := r.Random.IntN(len(from))
+	if len(from) == 1 {
+		return from[i]
+	}
+	j := (i + 1 + r.Random.IntN(len(from)-1)) % len(from)
+	if r.score(now, from[j]) < r.score(now, from[i]) {
+		return from[j]
+	}
+	return from[i]
 }
 
 // usable drops tried and ejected candidates; when ejections took out too many, ejected ones count again.
@@ -85,25 +111,30 @@
 	return usable
 }
 
-// preferred returns the candidates of the own data centre that are not full, else any that is not full, else all.
-func (r *Router) preferred(now time.Time, usable []Candidate) []Candidate {
-	var near, open []Candidate
+// open leaves out the candidates that have just refused a call for their load, unless all have.
+func (r *Router) open(now time.Time, usable []Candidate) []Candidate {
+	var open []Candidate
 	for _, c := range usable {
-		if o, ok := r.observations[c.endpoint]; ok && now.Before(o.fullUntil) {
-			continue
+		if o, ok := r.observations[c.endpoint]; !ok || !now.Before(o.fullUntil) {
+			open = append(open, c)
 		}
-		open = append(open, c)
+	}
+	if len(open) == 0 {
+		return usable
+	}
+	return open
+}
+
+// divide parts the candidates of the own data centre from the others.
+func (r *Router) divide(usable []Candidate) (near, far []Candidate) {
+	for _, c := range usable {
 		if c.dataCentre == r.DataCentre {
 			near = append(near, c)
+		} else {
+			far = append(far, c)
 		}
 	}
-	switch {
-	case len(near) > 0:
-		return near
-	case len(open) > 0:
-		return open
-	}
-	return usable
+	return near, far
 }
 
 func contains(list []Endpoint, e Endpoint) bool {
@@ -121,10 +152,15 @@
 }
 
 // score estimates the latency of one more call; a stalled call raises it by the time that it is already out.
+//
+// An endpoint that has not been used for a while scores best once, so that a recovered one is found again.
 func (r *Router) score(now time.Time, c Candidate) float64 {
 	o, ok := r.observations[c.endpoint]
 	if !ok {
-		return float64(neutralLatency)
+		return float64(neutralLatency) * (1 + 1/float64(c.slots))
+	}
+	if len(o.outstanding) == 0 && now.Sub(o.seen) > retestPeriod {
+		return 0
 	}
 	latency := o.latency
 	if o.samples == 0 {
@@ -134,42 +170,72 @@
 		latency = age
 	}
 	load := float64(len(o.outstanding)+1) / float64(c.slots)
+	if now.Sub(o.loadAt) < loadLifetime {
+		load = max(load, o.load)
+	}
 	return float64(latency) * (1 + load)
 }
 
+// NoteLoad notes the load that the daemon beside a backend server stated with an answer or a refusal: running and
+// waiting requests for each slot.
+func (r *Router) NoteLoad(now time.Time, e Endpoint, load float64) {
+	if o, ok := r.observations[e]; ok && load >= 0 {
+		o.load = load
+		o.loadAt = now
+	}
+}
+
 // Start notes that a call to an endpoint has begun.
 func (r *Router) Start(now time.Time, e Endpoint) Call {
 	o, ok := r.observations[e]
 	if !ok {
-		o = &observation{outstanding: map[uint64]time.Time{}}
+		o = &observation{outstanding: map[uint64]outstandingCall{}}
 		r.observations[e] = o
 	}
 	r.nextCall++
-	o.outstanding[r.nextCall] = now
+	o.outstanding[r.nextCall] = outstandingCall{started: now}
 	o.seen = now
 	return Call{endpoint: e, number: r.nextCall}
 }
 
+// Answer notes that the answer of a call has begun and returns its latency.
+func (r *Router) Answer(now time.Time, c Call) time.Duration {
+	o, ok := r.observations[c.endpoint]
+	if !ok {
+		return 0
+	}
+	call, ok := o.outstanding[c.number]
+	if !ok {
+		return 0
+	}
+	call.isAnswered = true
+	o.outstanding[c.number] = call
+	latency := now.Sub(call.started)
+	o.addSample(latency)
+	return latency
+}
+
 // Finish notes how a call ended and reports whether its endpoint has just been ejected.
 func (r *Router) Finish(now time.Time, c Call, result Result) bool {
 	o, ok := r.observations[c.endpoint]
 	if !ok {
 		return false
 	}
-	started, ok := o.outstanding[c.number]
+	call, ok := o.outstanding[c.number]
 	if !ok {
 		return false
 	}
 	delete(o.outstanding, c.number)
 	switch result {
 	case ResultAnswered:
-		o.addSample(now.Sub(started))
 	case ResultRefused:
 		o.fullUntil = now.Add(fullTime)
 	case ResultFailed:
 		return o.addFailure(now)
 	case ResultCancelled:
-		o.addCensored(now.Sub(started))
+		if !call.isAnswered {
+			o.addCensored(now.Sub(call.started))
+		}
 	}
 	return false
 }
--- /dev/null
+++ b/request/routing/router_test.go
@@ -0,0 +1,162 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinspar.example/membership"
+	"siskinspar.example/request/routing"
+)
+
+var start = time.Unix(1000, 0)
+
+func newRouter() *routing.Router {
+	return routing.NewRouter("a", rand.New(rand.NewPCG(1, 1)))
+}
+
+func candidates(near, far int) []routing.Candidate {
+	var list []routing.Candidate
+	for i := range near + far {
+		d := membership.DataCentre("a")
+		if i >= near {
+			d = "b"
+		}
+		e := routing.Endpoint{Instance: membership.ID(fmt.Sprintf("i%d", i)), Backend: "x"}
+		list = append(list, routing.NewCandidate(e, "", d, 10))
+	}
+	return list
+}
+
+func call(r *routing.Router, now time.Time, e routing.Endpoint, latency time.Duration) time.Time {
+	c := r.Start(now, e)
+	now = now.Add(latency)
+	r.Answer(now, c)
+	r.Finish(now, c, routing.ResultAnswered)
+	return now
+}
+
+func share(r *routing.Router, now time.Time, list []routing.Candidate, of routing.Endpoint) float64 {
+	const picks = 1000
+	count := 0
+	for range picks {
+		if c, _ := r.Pick(now, list, nil); c.Endpoint() == of {
+			count++
+		}
+	}
+	return float64(count) / picks
+}
+
+func warm(r *routing.Router, list []routing.Candidate, latency func(i int) time.Duration) time.Time {
+	now := start
+	for range 20 {
+		for i, c := range list {
+			now = call(r, now, c.Endpoint(), latency(i))
+		}
+	}
+	return now
+}
+
+func TestASlowEndpointGetsNothingWhileAFasterOneIsThere(t *testing.T) {
+	r, list := newRouter(), candidates(4, 0)
+	now := warm(r, list, func(i int) time.Duration { return time.Duration(1+9*min(1, i%4/3)) * 10 * time.Millisecond })
+	assert.Equal(t, share(r, now, list, list[3].Endpoint()), 0.0)
+}
+
+func TestAStalledEndpointIsSeenBeforeAnyAnswer(t *testing.T) {
+	r, list := newRouter(), candidates(3, 0)
+	now := warm(r, list, func(int) time.Duration { return 10 * time.Millisecond })
+	r.Start(now, list[0].Endpoint())
+	busy := func(now time.Time) {
+		for range 3 {
+			r.Start(now, list[1].Endpoint())
+			r.Start(now, list[2].Endpoint())
+		}
+	}
+	busy(now)
+	assert.Assert(t, share(r, now, list, list[0].Endpoint()) > 0.5, "the least loaded endpoint")
+	r, list = newRouter(), candidates(3, 0)
+	now = warm(r, list, func(int) time.Duration { return 10 * time.Millisecond })
+	r.Start(now, list[0].Endpoint())
+	later := now.Add(200 * time.Millisecond)
+	busy(later)
+	assert.Equal(t, share(r, later, list, list[0].Endpoint()), 0.0)
+}
+
+func TestARecoveredEndpointIsFoundAgain(t *testing.T) {
+	r, list := newRouter(), candidates(2, 0)
+	now := warm(r, list, func(i int) time.Duration { return time.Duration(1+9*i) * 10 * time.Millisecond })
+	now = now.Add(10 * time.Second)
+	assert.Assert(t, share(r, now, list, list[1].Endpoint()) > 0.4)
+}
+
+func TestCallsStayNearUntilAnotherDataCentreIsMuchBetter(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		far       time.Duration
+		isSpilled bool
+	}{
+		{"the same latency", 10 * time.Millisecond, false},
+		{"a little less", 9 * time.Millisecond, false},
+		{"half of it", 5 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, list := newRouter(), candidates(2, 2)
+			now := warm(r, list, func(i int) time.Duration {
+				if i < 2 {
+					return 10 * time.Millisecond
+				}
+				return c.far
+			})
+			picked, ok := r.Pick(now, list, nil)
+			assert.Assert(t, ok)
+			assert.Equal(t, picked.DataCentre() == "b", c.isSpilled)
+		})
+	}
+}
+
+func TestEjectionNeedsFailuresInARowAndLeavesHalf(t *testing.T) {
+	r, list := newRouter(), candidates(4, 0)
+	for _, c := range list[:3] {
+		for n := range 3 {
+			isEjected := r.Finish(start, r.Start(start, c.Endpoint()), routing.ResultFailed)
+			assert.Equal(t, isEjected, n == 2)
+		}
+	}
+	assert.Assert(t, share(r, start, list, list[0].Endpoint()) > 0, "with three of four ejected all count again")
+	r = newRouter()
+	for range 3 {
+		r.Finish(start, r.Start(start, list[0].Endpoint()), routing.ResultFailed)
+	}
+	assert.Equal(t, share(r, start, list, list[0].Endpoint()), 0.0)
+	later := start.Add(2 * time.Second)
+	assert.Assert(t, share(r, later, list, list[0].Endpoint()) > 0, "probation")
+	r.Start(later, list[0].Endpoint())
+	assert.Equal(t, share(r, later, list, list[0].Endpoint()), 0.0, "one call at a time on probation")
+}
+
+func TestNoCandidateIsOfferedTwice(t *testing.T) {
+	r, list := newRouter(), candidates(2, 1)
+	var tried []routing.Endpoint
+	for range 3 {
+		c, ok := r.Pick(start, list, tried)
+		assert.Assert(t, ok)
+		tried = append(tried, c.Endpoint())
+	}
+	_, ok := r.Pick(start, list, tried)
+	assert.Assert(t, !ok)
+}
+
+func TestTheDelayOfARouteSettlesNearItsSlowestTwentieth(t *testing.T) {
+	var d routing.Delay
+	random := rand.New(rand.NewPCG(3, 3))
+	for range 5000 {
+		d.Add(time.Duration(random.IntN(100)) * time.Millisecond)
+	}
+	value, ok := d.Value()
+	assert.Assert(t, ok)
+	assert.Assert(t, value > 80*time.Millisecond && value < 110*time.Millisecond, "%s", value)
+}
--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -1,12 +1,14 @@
 package backend
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"hash"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -45,6 +47,8 @@
 	IsShedding bool `json:"isShedding"`
 	// ReportedLoad is what the load endpoint says, whatever the load.
 	ReportedLoad float64 `json:"reportedLoad"`
+	// IsQueueing makes requests beyond the slots wait in order of arrival instead of being shed.
+	IsQueueing bool `json:"isQueueing"`
 	// CutAfter ends the connection after so many bytes of an answer; 0 never does.
 	CutAfter int `json:"cutAfter"`
 }
@@ -64,6 +68,7 @@
 	behaviour  Behaviour
 	stalled    time.Time
 	running    int
+	waiting    []chan struct{}
 	highest    int
 	executions map[string]int
 }
@@ -126,7 +131,7 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	b, ok := s.begin(r.Header.Get(HeaderID))
+	b, ok := s.begin(r.Context(), r.Header.Get(HeaderID))
 	if !ok {
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "shed", http.StatusServiceUnavailable)
@@ -150,13 +155,16 @@
 }
 
 // begin counts an execution unless the request is shed.
-func (s *Server) begin(id string) (Behaviour, bool) {
+func (s *Server) begin(ctx context.Context, id string) (Behaviour, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.started.IsZero() {
 		s.started = time.Now()
 		s.executions = map[string]int{}
 	}
+	if s.running >= s.Slots && s.behaviour.IsQueueing && !s.wait(ctx) {
+		return s.behaviour, false
+	}
 	if s.behaviour.IsShedding || s.running >= s.Slots {
 		return s.behaviour, false
 	}
@@ -168,10 +176,38 @@
 	return s.behaviour, true
 }
 
+// wait gives up the lock until a slot is free for this request, or the request is cancelled.
+func (s *Server) wait(ctx context.Context) bool {
+	turn := make(chan struct{}, 1)
+	s.waiting = append(s.waiting, turn)
+	s.mu.Unlock()
+	select {
+	case <-turn:
+		s.mu.Lock()
+		return true
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	before := len(s.waiting)
+	s.waiting = slices.DeleteFunc(s.waiting, func(c chan struct{}) bool { return c == turn })
+	if len(s.waiting) == before {
+		s.wakeNext()
+	}
+	return false
+}
+
+func (s *Server) wakeNext() {
+	if len(s.waiting) > 0 {
+		s.waiting[0] <- struct{}{}
+		s.waiting = s.waiting[1:]
+	}
+}
+
 func (s *Server) end() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
+	s.wakeNext()
 }
 
 // work takes the service time; it ends early when the request is cancelled or its deadline passes.
--- a/standin/mesh/partition_test.go
+++ b/standin/mesh/partition_test.go
@@ -11,6 +11,7 @@
 
 	"siskinspar.example/daemon/settings"
 	"siskinspar.example/declaration"
+	"siskinspar.example/membership"
 	"siskinspar.example/platform/standin"
 	"siskinspar.example/standin/mesh"
 	"siskinspar.example/versionlog"
@@ -80,7 +81,25 @@
 	assert.Equal(t, submit(t, m.Nodes()[0], "one").Version(), declaration.Version(1))
 	assert.Equal(t, submit(t, m.Nodes()[4], "two").Version(), declaration.Version(2))
 	awaitVersion(t, 2, m.Nodes()...)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, n := range m.Nodes()[:3] {
+			if !n.Daemon().Core().Roster.IsLost("b") {
+				return poll.Continue("%s does not know that b is lost", n.Name())
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience))
 	m.Network().Join("b")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, n := range m.Nodes() {
+			for _, d := range []membership.DataCentre{"a", "b", "c"} {
+				if n.Daemon().Core().Roster.IsLost(d) {
+					return poll.Continue("%s holds %s as lost", n.Name(), d)
+				}
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(patience))
 	settle(t, m)
 }
 
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -30,8 +30,6 @@
 	KindRequestRefused     Kind = "request-refused"
 	KindRequestQuarantined Kind = "request-quarantined"
 	KindRequestReleased    Kind = "request-released"
-	KindCentreLost         Kind = "data-centre-lost"
-	KindCentreBack         Kind = "data-centre-back"
 )
 
 // Event is one entry of the time line.
