--- a/capacity/model.go
+++ b/capacity/model.go
@@ -38,7 +38,8 @@
 		"gossip bounded to 8 records a message; fan-out of 8", sent, "B/s", BoundBytes)
 	sent = c.largest("idle.sent") + c.largest("converge.sent.rate10")*changeRate()*BusyFactor
 	busyBytes := c.row("bytes sent, busiest minute", "idle.sent + converge.sent x 2.9/s", "push tree, one message a change and daemon", sent, "B/s", BoundBytes)
-	return []Row{memory, ordinary, busy, bytes, busyBytes}
+	connections := Row{What: "memory of connections in a group of 636", Formula: "at most 256 kept to peers", Mechanism: "least recently used is closed", Verdict: NotMeasured}
+	return []Row{memory, connections, ordinary, busy, bytes, busyBytes}
 }
 
 // changeTime is the processor time of one change on a daemon that does not carry the intent.
@@ -61,7 +62,7 @@
 	p99 := c.row("added latency, p99", "latency.added.p99 at 100 calls/s, above the 47 of the plan", "two hops over kept connections", c.at("latency.added.p99", 100), "s", BoundLatency)
 	first := c.row("first candidates of all routes of a joining daemon", "candidates.first.time(21,000) x 40 routes",
 		"built once a route, then changed by record", c.at("candidates.first.time", Daemons)*RoutesPerDaemon, "s", BoundConverge)
-	limits := Row{What: "daemon as owner of a limit", Formula: "-", Mechanism: "not built: limits are distributed, not enforced", Verdict: NotMeasured}
+	limits := Row{What: "daemon as owner of a limit", Formula: "no messages: shares follow from the directory", Mechanism: "limits divided over the daemons beside the backend servers", Verdict: NotMeasured}
 	return []Row{processor, p50, p99, first, limits}
 }
 
--- a/capacity/row.go
+++ b/capacity/row.go
@@ -13,6 +13,10 @@
 	Carried     Verdict = "carried"
 	NotCarried  Verdict = "not carried"
 	NotMeasured Verdict = "not measured"
+	// Calculated means that the value follows from the design alone; no run has shown it.
+	Calculated Verdict = "not measured, calculated"
+	// Unbounded means that neither letter nor brief states a bound.
+	Unbounded Verdict = "no bound stated"
 	// Bent means that the series is not a straight line, so it was not extended.
 	Bent Verdict = "not extended: the series bends"
 )
@@ -60,6 +64,18 @@
 	return fmt.Sprintf("%.3g %s", v, unit)
 }
 
+func (r Row) judge() Verdict {
+	switch {
+	case len(r.Figures) == 0:
+		return Calculated
+	case r.Bound == 0:
+		return Unbounded
+	case r.Value > r.Bound:
+		return NotCarried
+	}
+	return Carried
+}
+
 // calculator takes values from the raw figures and notes which ones a row used.
 type calculator struct {
 	figures Figures
@@ -124,10 +140,7 @@
 		r.BoundText = Show(bound, unit)
 	}
 	if r.Verdict == "" {
-		r.Verdict = Carried
-		if bound > 0 && value > bound {
-			r.Verdict = NotCarried
-		}
+		r.Verdict = r.judge()
 	}
 	c.used = nil
 	c.verdict = ""
