feat: quarantine requests that crash backend servers

Cause: a request that crashes the backend server that runs it was sent on to the next one, by the mesh and by its caller, until none was left.

Change: the owner tells a crash (the connection broke and nothing listens) from a broken connection, and spreads what ran there down the tree; a pure registry counts distinct crashes, clears what is answered later, and stops a repeatable request after two and an unrepeatable one after one, for ten minutes or until an operator releases it. The entry counts crashes over retries and hedges, and does not hedge after one.

Left: a crash in the middle of an answer's body is not counted; callers that send the same poison through several daemons in the same milliseconds can exceed the count.

--- a/cmd/command/root.go
+++ b/cmd/command/root.go
@@ -90,6 +90,7 @@
 			newHistory(),
 			newRollback(),
 			newDrain(),
+			newQuarantine(),
 			newTimeline(),
 			newSettings(),
 			newLoad(),
--- a/daemon/backends/table.go
+++ b/daemon/backends/table.go
@@ -57,6 +57,8 @@
 	}
 	b.expires = now.Add(time.Duration(a.TimeToLive) * time.Second)
 	b.announcement = a
+	b.failures = 0
+	b.isHealthy = true
 	t.applyDrain(b)
 	b.gate.SetLimits(t.limits(a))
 	t.publish()
@@ -239,6 +241,17 @@
 	t.publish()
 }
 
+// NoteCrash stops offering a backend server until a probe succeeds or it announces itself again.
+func (t *Table) NoteCrash(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b, ok := t.backends[name]; ok {
+		b.failures = unhealthyProbes
+		b.isHealthy = false
+	}
+	t.publish()
+}
+
 // Probe is a health check that is due.
 type Probe struct {
 	name string
--- a/daemon/control/methods.go
+++ b/daemon/control/methods.go
@@ -51,6 +51,15 @@
 	return nil
 }
 
+// Notify takes in a notice of a crash and passes it on to the interval.
+func (m *Methods) Notify(q *peer.NotifyRequest, a *peer.NotifyReply) error {
+	m.node.Clock.Receive(q.Header.Stamp)
+	m.node.Notices.Receive(q.Notice)
+	m.node.forwardNotice(q.Notice, q.Interval)
+	a.Header = m.node.header()
+	return nil
+}
+
 // Push takes in changes and passes them on to the interval.
 func (m *Methods) Push(q *peer.PushRequest, a *peer.PushReply) error {
 	m.node.receive(q)
--- a/daemon/control/node.go
+++ b/daemon/control/node.go
@@ -29,6 +29,7 @@
 	Recorder      *timeline.Recorder
 	Logger        *slog.Logger
 	Claims        Claims
+	Notices       Notices
 	Seeds         []string
 	StoreTimeout  time.Duration
 	Membership    membership.Timing
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -11,6 +11,7 @@
 	"siskinspar.example/daemon/claimer"
 	"siskinspar.example/daemon/configuration"
 	"siskinspar.example/daemon/control"
+	"siskinspar.example/daemon/crash"
 	"siskinspar.example/daemon/peer"
 	"siskinspar.example/daemon/roster"
 	"siskinspar.example/daemon/settings"
@@ -35,6 +36,7 @@
 	Traffic       *peer.Traffic
 	Node          *control.Node
 	Claimer       *claimer.Claimer
+	Guard         *crash.Guard
 
 	// The listeners are given by tests and demos that choose the ports; otherwise the parts open them.
 	CallerListener   net.Listener
--- a/daemon/entry/handler.go
+++ b/daemon/entry/handler.go
@@ -17,6 +17,7 @@
 	"siskinspar.example/membership"
 	"siskinspar.example/request/forward"
 	"siskinspar.example/request/outcome"
+	"siskinspar.example/request/quarantine"
 	"siskinspar.example/request/retry"
 	"siskinspar.example/request/routing"
 	"siskinspar.example/timeline"
@@ -25,6 +26,8 @@
 const (
 	// answerGrace is how long after the deadline the entry daemon still waits for the truthful refusal of the owner.
 	answerGrace = 100 * time.Millisecond
+	// maximumCrashes is the number of backend servers that one request may crash.
+	maximumCrashes = 2
 	// maximumAttempts bounds the owners that one request is offered to.
 	maximumAttempts = 4
 )
@@ -81,6 +84,7 @@
 	version declaration.Version
 	tried   []routing.Endpoint
 	expires time.Time
+	crashes int
 }
 
 // ServeHTTP implements http.Handler.
@@ -189,7 +193,7 @@
 	if f.Outcome() == outcome.NotRun {
 		return isElsewherePossible(f.Reason())
 	}
-	return isOutermost(c) && isRepeatable(c) && f.Reason() != outcome.ReasonDeadline && h.spend()
+	return c.crashes < maximumCrashes && isOutermost(c) && isRepeatable(c) && f.Reason() != outcome.ReasonDeadline && h.spend()
 }
 
 // isOutermost reports whether no other layer of the mesh retries the request.
@@ -240,5 +244,6 @@
 		IsProtected:    i.ProtectedShare > 0,
 		IsUnrepeatable: i.Unrepeatable,
 		Timeout:        time.Until(c.expires),
+		Fingerprint:    quarantine.NewFingerprint(c.request.Method, c.request.URL.RequestURI(), c.body.Kept()),
 	}
 }
--- a/daemon/entry/hedge.go
+++ b/daemon/entry/hedge.go
@@ -24,10 +24,18 @@
 	return d
 }
 
-// isHedgeable reports whether a second attempt may run beside the first: only for reads whose repetition is harmless.
+// noteFailure counts the backend servers that crashed under the request.
+func (c *call) noteFailure(f *outcome.Failure) {
+	if f != nil && f.Reason() == outcome.ReasonCrashed {
+		c.crashes++
+	}
+}
+
+// isHedgeable reports whether a second attempt may run beside the first: only for reads whose repetition is
+// harmless, and not after a crash.
 func isHedgeable(c *call) bool {
 	isRead := c.request.Method == http.MethodGet || c.request.Method == http.MethodHead
-	return isRead && isOutermost(c) && !c.route.Intent().Unrepeatable && !c.body.IsStreamed()
+	return isRead && c.crashes == 0 && isOutermost(c) && !c.route.Intent().Unrepeatable && !c.body.IsStreamed()
 }
 
 // offer sends the request to one owner, and to a second one when a read is late and the budget allows it.
@@ -36,7 +44,9 @@
 	wait, isKnown := h.delay(c).Value()
 	h.mu.Unlock()
 	if !isKnown || !isHedgeable(c) {
-		return h.send(ctx, c, to)
+		a, failure := h.send(ctx, c, to)
+		c.noteFailure(failure)
+		return a, failure
 	}
 	r := &race{handler: h, call: c, snapshot: n, results: make(chan result, 2)}
 	r.launch(ctx, to)
@@ -84,6 +94,7 @@
 				return one.answer, nil
 			}
 			r.cancels[one.attempt]()
+			r.call.noteFailure(one.failure)
 			failure = worse(failure, one.failure)
 		}
 	}
--- a/daemon/operator/server.go
+++ b/daemon/operator/server.go
@@ -36,6 +36,8 @@
 	r.POST("/v1/submissions", s.guarded(s.submit))
 	r.POST("/v1/rollback", s.guarded(s.rollback))
 	r.POST("/v1/drain", s.guarded(s.drain))
+	r.GET("/v1/quarantine", s.guarded(s.quarantine))
+	r.POST("/v1/quarantine/release", s.guarded(s.release))
 	r.POST("/v1/announcements", s.announced(s.announce))
 	r.DELETE("/v1/announcements/:name", s.announced(s.withdraw))
 	return r
--- a/daemon/operator/write.go
+++ b/daemon/operator/write.go
@@ -116,6 +116,19 @@
 	answer(w, http.StatusOK, q)
 }
 
+func (s *Server) quarantine(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	answer(w, http.StatusOK, s.Core.Guard.Entries())
+}
+
+func (s *Server) release(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var q operatorapi.Release
+	if !read(w, r, &q) {
+		return
+	}
+	s.Core.Guard.Release(q.Fingerprint)
+	answer(w, http.StatusOK, q)
+}
+
 func (s *Server) announce(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var a operatorapi.Announcement
 	if !read(w, r, &a) {
--- a/daemon/operatorapi/client.go
+++ b/daemon/operatorapi/client.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"siskinspar.example/declaration"
+	"siskinspar.example/request/quarantine"
 	"siskinspar.example/timeline"
 	"siskinspar.example/versionlog"
 )
@@ -140,6 +141,17 @@
 	return c.call(ctx, http.MethodPost, "/v1/drain", nil, d, &Drain{})
 }
 
+// Quarantine returns the requests that ran when backend servers crashed.
+func (c *Client) Quarantine(ctx context.Context) ([]quarantine.Entry, error) {
+	var entries []quarantine.Entry
+	return entries, c.call(ctx, http.MethodGet, "/v1/quarantine", nil, nil, &entries)
+}
+
+// Release lets a quarantined request run again at all daemons.
+func (c *Client) Release(ctx context.Context, r Release) error {
+	return c.call(ctx, http.MethodPost, "/v1/quarantine/release", nil, r, &Release{})
+}
+
 // Announce announces a backend server; the token is that of the backend servers.
 func (c *Client) Announce(ctx context.Context, a Announcement) error {
 	return c.call(ctx, http.MethodPost, "/v1/announcements", nil, a, &struct{}{})
--- a/daemon/operatorapi/message.go
+++ b/daemon/operatorapi/message.go
@@ -5,6 +5,7 @@
 
 	"siskinspar.example/declaration"
 	"siskinspar.example/membership"
+	"siskinspar.example/request/quarantine"
 	"siskinspar.example/timeline"
 	"siskinspar.example/versionlog"
 )
@@ -126,6 +127,11 @@
 	Operator  string               `json:"operator"`
 }
 
+// Release lets a quarantined request run again.
+type Release struct {
+	Fingerprint quarantine.Fingerprint `json:"fingerprint"`
+}
+
 // Drain starts or ends the drain of the backend servers beside a daemon.
 type Drain struct {
 	IsDraining bool `json:"isDraining"`
--- a/daemon/owner/call.go
+++ b/daemon/owner/call.go
@@ -8,6 +8,7 @@
 	"siskinspar.example/declaration"
 	"siskinspar.example/request/forward"
 	"siskinspar.example/request/outcome"
+	"siskinspar.example/request/quarantine"
 )
 
 // The headers that describe a call between daemons, besides those of package outcome.
@@ -26,6 +27,7 @@
 	IsProtected    bool
 	IsUnrepeatable bool
 	Timeout        time.Duration
+	Fingerprint    quarantine.Fingerprint
 }
 
 // Write adds the description to the headers of a request between daemons.
@@ -36,6 +38,7 @@
 	h.Set(headerPriority, string(c.Priority))
 	h.Set(headerProtected, strconv.FormatBool(c.IsProtected))
 	h.Set(headerUnrepeatable, strconv.FormatBool(c.IsUnrepeatable))
+	h.Set(outcome.HeaderFingerprint, string(c.Fingerprint))
 	forward.SetTimeout(h, c.Timeout)
 }
 
@@ -51,5 +54,6 @@
 		IsProtected:    isProtected,
 		IsUnrepeatable: isUnrepeatable || err != nil,
 		Timeout:        forward.Timeout(h, declaration.MaximumTimeout),
+		Fingerprint:    quarantine.Fingerprint(h.Get(outcome.HeaderFingerprint)),
 	}
 }
--- a/daemon/owner/handler.go
+++ b/daemon/owner/handler.go
@@ -12,6 +12,7 @@
 
 	"siskinspar.example/daemon/backends"
 	"siskinspar.example/daemon/claimer"
+	"siskinspar.example/daemon/crash"
 	"siskinspar.example/daemon/peer"
 	"siskinspar.example/request/forward"
 	"siskinspar.example/request/outcome"
@@ -21,6 +22,7 @@
 type Handler struct {
 	Backends *backends.Table
 	Claimer  *claimer.Claimer
+	Guard    *crash.Guard
 	Limits   *Limits
 	Meter    Meter
 }
@@ -49,6 +51,28 @@
 	if !ok {
 		return outcome.NewRefusal(outcome.ReasonNoBackend)
 	}
+	q := crash.Request{Fingerprint: c.Fingerprint, Target: c.Intent, IsUnrepeatable: c.IsUnrepeatable}
+	if h.Guard.IsQuarantined(q) {
+		return outcome.NewRefusal(outcome.ReasonQuarantined)
+	}
+	failure := h.admit(ctx, w, r, c, b)
+	return h.settle(q, b, failure)
+}
+
+// settle tells a crash of the backend server from another failure, and clears a suspected request that was answered.
+func (h *Handler) settle(q crash.Request, b *backends.Backend, failure *outcome.Failure) *outcome.Failure {
+	if failure == nil {
+		h.Guard.NoteAnswer(q)
+		return nil
+	}
+	if failure.Reason() != outcome.ReasonBackendFailure || !h.Guard.NoteBroken(q, b.Name(), b.Address()) {
+		return failure
+	}
+	h.Backends.NoteCrash(b.Name())
+	return outcome.NewFailure(outcome.Unknown, outcome.ReasonCrashed, failure.Status())
+}
+
+func (h *Handler) admit(ctx context.Context, w http.ResponseWriter, r *http.Request, c Call, b *backends.Backend) *outcome.Failure {
 	w.Header().Set(outcome.HeaderLoad, strconv.FormatFloat(b.Gate().LoadPerSlot(), 'f', 2, 64))
 	leave, failure := h.Limits.Enter(c)
 	if failure != nil {
--- a/daemon/part/control/part.go
+++ b/daemon/part/control/part.go
@@ -7,6 +7,7 @@
 	"siskinspar.example/daemon/claimer"
 	"siskinspar.example/daemon/control"
 	"siskinspar.example/daemon/core"
+	"siskinspar.example/daemon/crash"
 	"siskinspar.example/daemon/settings"
 	"siskinspar.example/distribution"
 	"siskinspar.example/membership"
@@ -41,8 +42,10 @@
 	c.Claimer = &claimer.Claimer{
 		Self: c.Settings.Instance.Name, Table: c.Log.Table, Objects: c.Log.Objects, Timeout: c.Settings.Platform.Timeout,
 	}
+	c.Guard = &crash.Guard{Instance: c.Settings.Instance.Name, Recorder: c.Recorder}
 	c.Node = &control.Node{
 		Claims:        c.Claimer,
+		Notices:       c.Guard,
 		Roster:        c.Roster,
 		Configuration: c.Configuration,
 		Pool:          c.Pool,
@@ -56,6 +59,7 @@
 		Distribution:  timing,
 	}
 	c.Claimer.Holders = c.Node
+	c.Guard.Spreader = c.Node
 	c.Node.Start(ctx)
 	p.done = c.Node.Done()
 	return nil
--- a/daemon/peer/message.go
+++ b/daemon/peer/message.go
@@ -5,6 +5,7 @@
 	"siskinspar.example/distribution"
 	"siskinspar.example/membership"
 	"siskinspar.example/request/claim"
+	"siskinspar.example/request/quarantine"
 	"siskinspar.example/timeline"
 	"siskinspar.example/versionlog"
 )
@@ -15,6 +16,7 @@
 	MethodIndirect = "Peer.Indirect"
 	MethodHold     = "Peer.Hold"
 	MethodFind     = "Peer.Find"
+	MethodNotify   = "Peer.Notify"
 	MethodClaim    = "Peer.Claim"
 	MethodPush     = "Peer.Push"
 	MethodPull     = "Peer.Pull"
@@ -76,6 +78,16 @@
 	State  claim.State
 }
 
+// NotifyRequest carries a notice of a crash and the interval of members to which the receiver passes it on.
+type NotifyRequest struct {
+	Header   Header
+	Notice   quarantine.Notice
+	Interval distribution.Interval
+}
+
+// NotifyReply tells that the receiver has taken the notice.
+type NotifyReply struct{ Header Header }
+
 // PushRequest carries new changes and the interval of members to which the receiver passes them on.
 type PushRequest struct {
 	Header   Header
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -37,6 +37,7 @@
 	ReasonUnreachable    Reason = "backend server unreachable"
 	ReasonBackendFailure Reason = "backend server failed"
 	ReasonCancelled      Reason = "cancelled by the caller"
+	ReasonCrashed        Reason = "backend server crashed"
 )
 
 // The headers that the mesh sets on responses and between its daemons.
@@ -52,6 +53,8 @@
 	HeaderBackend = "Siskinspar-Backend"
 	// HeaderEntry holds the instance that took the call, between daemons.
 	HeaderEntry = "Siskinspar-Entry"
+	// HeaderFingerprint identifies the content of a request, between daemons.
+	HeaderFingerprint = "Siskinspar-Fingerprint"
 	// HeaderLoad holds the requests that run and wait at a backend server for each of its slots, between daemons.
 	HeaderLoad = "Siskinspar-Load"
 	// HeaderAttempt, with the value InnerLayer, tells that an outer layer of the mesh retries.
