test: prove certificates, trailers, stops and claims in fault tables

Cause: mutual TLS, trailers, the second SIGTERM, a stop of the backend server and the claims had no test of their own.

--- a/cmd/integration/harness_test.go
+++ b/cmd/integration/harness_test.go
@@ -122,6 +122,8 @@
 	store   string
 	control *http.Client
 	daemons []*instance
+	// backends are the backend server processes in the order in which they were started.
+	backends []*process
 }
 
 // instance is a daemon process on an IP number of its own.
@@ -216,7 +218,9 @@
 	arguments := append([]string{
 		"standin", "backend", "--name", name, "--listen", address, "--daemon", i.operators(), "--token", backendToken, "--labels", "service=desk",
 	}, more...)
-	return start(i.mesh.t, arguments...), address
+	p := start(i.mesh.t, arguments...)
+	i.mesh.backends = append(i.mesh.backends, p)
+	return p, address
 }
 
 // eventually waits until the condition holds.
--- a/cmd/integration/path_test.go
+++ b/cmd/integration/path_test.go
@@ -119,13 +119,15 @@
 func TestSIGTERMCutsNoRequestInFlight(t *testing.T) {
 	for _, c := range []struct {
 		name  string
-		stops func(near, far *instance) *instance
+		stops func(near, far *instance, desk *process) *process
 	}{
-		{"at the daemon that took the call", func(near, _ *instance) *instance { return near }},
-		{"at the daemon beside the backend server", func(_, far *instance) *instance { return far }},
+		{"at the daemon that took the call", func(near, _ *instance, _ *process) *process { return near.process }},
+		{"at the daemon beside the backend server", func(_, far *instance, _ *process) *process { return far.process }},
+		{"at the backend server", func(_, _ *instance, desk *process) *process { return desk }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			_, near, far, _ := startPair(t)
+			m, near, far, _ := startPair(t)
+			desk := m.backends[0]
 			type result struct {
 				isWhole bool
 				err     error
@@ -139,7 +141,7 @@
 				s, err := far.client().Status(context.Background())
 				return err == nil && s.BackendServers[0].Running == 1
 			})
-			stopped := c.stops(near, far)
+			stopped := c.stops(near, far, desk)
 			stopped.signal(syscall.SIGTERM)
 			r := <-answered
 			assert.NilError(t, r.err)
@@ -150,6 +152,28 @@
 	}
 }
 
+func TestASecondSIGTERMStopsAtOnceAndSaysWhatItCuts(t *testing.T) {
+	_, near, far, _ := startPair(t)
+	go func() { _, _, _ = near.do(http.MethodGet, "/status?work=1h", "cut", nil, nil) }()
+	eventually(t, "the request runs", func() bool {
+		s, err := far.client().Status(context.Background())
+		return err == nil && s.BackendServers[0].Running == 1
+	})
+	far.signal(syscall.SIGTERM)
+	eventually(t, "the drain has begun", func() bool { return strings.Contains(far.output.String(), "daemon: draining") })
+	eventually(t, "the second signal ends the daemon", func() bool {
+		far.signal(syscall.SIGTERM)
+		select {
+		case <-far.ended:
+			return true
+		default:
+			return false
+		}
+	})
+	assert.Assert(t, cmp.Contains(far.output.String(), "requests-cut=1"))
+	assert.Equal(t, far.command.ProcessState.ExitCode(), 1)
+}
+
 func TestStrangersCanNeitherApplyNorJoinNorAnnounce(t *testing.T) {
 	m, near, _, _ := startPair(t)
 	output, code := run(t, "apply", "--operator", near.operators(), "--token", "wrong-token", m.declare(standardDeclarations))
--- /dev/null
+++ b/daemon/claimer/claimer_test.go
@@ -0,0 +1,107 @@
+package claimer_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinspar.example/daemon/claimer"
+	"siskinspar.example/platform/dynamo"
+	"siskinspar.example/platform/objects"
+	"siskinspar.example/platform/standin"
+	"siskinspar.example/request/claim"
+	"siskinspar.example/request/outcome"
+)
+
+// holder answers for the daemon that holds a claim.
+type holder struct{ state claim.State }
+
+func (h holder) Ask(context.Context, string, claim.Token) claim.State { return h.state }
+
+func newClaimer(h *httptest.Server, name string, state claim.State) *claimer.Claimer {
+	return &claimer.Claimer{
+		Self:    name,
+		Table:   dynamo.New(dynamo.Options{Endpoint: h.URL, Region: "local", AccessKey: "a", SecretKey: "b", Table: "t", Client: h.Client()}),
+		Objects: objects.New(objects.Options{Endpoint: h.URL, Region: "local", AccessKey: "a", SecretKey: "b", Bucket: "b", Client: h.Client()}),
+		Holders: holder{state},
+		Timeout: time.Second,
+	}
+}
+
+func enter(context.Context) (func(), *outcome.Failure) { return func() {}, nil }
+
+var request = claimer.Request{Intent: "repayment", Key: "k", Method: "POST", Target: "/repayments", Body: []byte("pay")}
+
+// TestWhatBecomesOfAnUnrepeatableRequest sends it after an earlier attempt of another daemon ended as the case says.
+func TestWhatBecomesOfAnUnrepeatableRequest(t *testing.T) {
+	unknown := outcome.NewFailure(outcome.Unknown, outcome.ReasonBackendFailure, 502)
+	refused := outcome.NewRefusal(outcome.ReasonUnreachable)
+	for _, c := range []struct {
+		name    string
+		earlier *outcome.Failure
+		hasRun  bool
+		state   claim.State
+		fault   standin.Fault
+		request claimer.Request
+		outcome outcome.Outcome
+		reason  outcome.Reason
+		runs    int32
+	}{
+		{"nothing came before", nil, false, claim.StateUnknown, standin.Fault{}, request, outcome.Ran, "", 1},
+		{"an answer came before", nil, true, claim.StateAnswered, standin.Fault{}, request, outcome.Ran, "", 0},
+		{"the earlier fate is unknown", unknown, true, claim.StateFailed, standin.Fault{}, request, outcome.Unknown, outcome.ReasonClaimed, 0},
+		{"the holder has forgotten", unknown, true, claim.StateUnknown, standin.Fault{}, request, outcome.Unknown, outcome.ReasonClaimed, 0},
+		{"the holder never dispatched", unknown, true, claim.StateAbandoned, standin.Fault{}, request, outcome.Ran, "", 1},
+		{"the earlier attempt was refused", refused, true, claim.StateUnknown, standin.Fault{}, request, outcome.Ran, "", 1},
+		{"the key has another body", nil, true, claim.StateAnswered, standin.Fault{}, claimer.Request{Intent: "repayment", Key: "k", Method: "POST", Target: "/repayments", Body: []byte("other")}, outcome.NotRun, outcome.ReasonKeyReused, 0},
+		{"the key is missing", nil, false, claim.StateUnknown, standin.Fault{}, claimer.Request{Intent: "repayment"}, outcome.NotRun, outcome.ReasonMissingKey, 0},
+		{"the store is down", nil, false, claim.StateUnknown, standin.Fault{Mode: standin.ModeDown}, request, outcome.NotRun, outcome.ReasonStore, 0},
+		{"the store is at its rate", nil, false, claim.StateUnknown, standin.Fault{Mode: standin.ModeThrottled}, request, outcome.NotRun, outcome.ReasonStore, 0},
+		{"the answer of the claim is lost", nil, false, claim.StateUnknown, standin.Fault{Mode: standin.ModeLostAnswer, Count: 1}, request, outcome.Ran, "", 1},
+		{"the answers of the claim and of the answer are lost", nil, false, claim.StateUnknown, standin.Fault{Mode: standin.ModeLostAnswer, Count: 2}, request, outcome.Ran, "", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &standin.Server{}
+			h := httptest.NewServer(s)
+			t.Cleanup(h.Close)
+			if c.hasRun {
+				_, _ = newClaimer(h, "earlier", claim.StateUnknown).Do(t.Context(), request, enter, func(context.Context) (*claim.Answer, *outcome.Failure) {
+					return &claim.Answer{Status: 200, Body: []byte("whole")}, c.earlier
+				})
+			}
+			s.SetFault(c.fault)
+			var runs atomic.Int32
+			answer, failure := newClaimer(h, "later", c.state).Do(t.Context(), c.request, enter, func(context.Context) (*claim.Answer, *outcome.Failure) {
+				runs.Add(1)
+				return &claim.Answer{Status: 200, Body: []byte("whole")}, nil
+			})
+			assert.Equal(t, runs.Load(), c.runs)
+			if c.outcome == outcome.Ran {
+				assert.Assert(t, failure == nil, "%v", failure)
+				assert.Equal(t, string(answer.Body), "whole")
+				return
+			}
+			assert.Equal(t, failure.Outcome(), c.outcome)
+			assert.Equal(t, failure.Reason(), c.reason)
+		})
+	}
+}
+
+func TestAWaitThatEndsBeforeTheDispatchLeavesTheKeyFree(t *testing.T) {
+	h := httptest.NewServer(&standin.Server{})
+	t.Cleanup(h.Close)
+	c := newClaimer(h, "one", claim.StateUnknown)
+	full := func(context.Context) (func(), *outcome.Failure) {
+		return nil, outcome.NewRefusal(outcome.ReasonQueueFull)
+	}
+	run := func(context.Context) (*claim.Answer, *outcome.Failure) { return &claim.Answer{Status: 200}, nil }
+	_, failure := c.Do(t.Context(), request, full, run)
+	assert.Equal(t, failure.Reason(), outcome.ReasonQueueFull)
+	assert.Equal(t, failure.Outcome(), outcome.NotRun)
+	_, failure = c.Do(t.Context(), request, enter, run)
+	assert.Assert(t, failure == nil)
+}
--- /dev/null
+++ b/standin/mesh/identity_test.go
@@ -0,0 +1,191 @@
+package mesh_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinspar.example/daemon/operatorapi"
+	"siskinspar.example/daemon/settings"
+	"siskinspar.example/declaration"
+	"siskinspar.example/standin/mesh"
+	"siskinspar.example/versionlog"
+)
+
+// authority signs certificates for 127.0.0.1.
+type authority struct {
+	t           *testing.T
+	directory   string
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{t: t, directory: t.TempDir()}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	a.key = key
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	assert.NilError(t, err)
+	a.certificate, err = x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	a.write("authority.pem", "CERTIFICATE", der)
+	return a
+}
+
+func (a *authority) write(name, kind string, der []byte) string {
+	path := filepath.Join(a.directory, name)
+	assert.NilError(a.t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+	return path
+}
+
+// issue writes a certificate and its key and returns their files.
+func (a *authority) issue() (string, string) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(a.t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "daemon"}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		KeyUsage: x509.KeyUsageDigitalSignature, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	assert.NilError(a.t, err)
+	plain, err := x509.MarshalECPrivateKey(key)
+	assert.NilError(a.t, err)
+	return a.write("daemon.pem", "CERTIFICATE", der), a.write("daemon.key", "EC PRIVATE KEY", plain)
+}
+
+func (a *authority) settings(p *settings.Peers) {
+	p.Key = ""
+	p.Certificate, p.PrivateKey = a.issue()
+	p.Authority = filepath.Join(a.directory, "authority.pem")
+}
+
+func TestDaemonsKnowEachOtherByCertificates(t *testing.T) {
+	a := newAuthority(t)
+	m := &mesh.Mesh{Adjust: func(s *settings.Settings) { a.settings(&s.Peers) }}
+	t.Cleanup(m.Stop)
+	assert.NilError(t, m.StartPlatform())
+	for _, name := range []string{"one", "two"} {
+		_, err := m.Add(name, name, nil)
+		assert.NilError(t, err)
+	}
+	settle(t, m)
+	server := startEcho(t, m.Nodes()[1])
+	declareEcho(t, m)
+	answer := sendWithTrailer(t, m.Nodes()[0])
+	assert.Equal(t, answer.body, "body")
+	address := m.Nodes()[1].Peers()
+	for _, c := range []struct {
+		name   string
+		scheme string
+		config *tls.Config
+	}{
+		{"plain text", "http", nil},
+		{"no certificate", "https", &tls.Config{InsecureSkipVerify: true}},
+		{"a certificate of another authority", "https", strangerConfig(t)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			client := &http.Client{Transport: &http.Transport{TLSClientConfig: c.config}}
+			response, err := client.Get(c.scheme + "://" + address + "/peer/rpc")
+			if err == nil {
+				_ = response.Body.Close()
+				assert.Assert(t, response.StatusCode >= 400, "a stranger got status %d", response.StatusCode)
+			}
+		})
+	}
+	server.Close()
+}
+
+func strangerConfig(t *testing.T) *tls.Config {
+	t.Helper()
+	certificate, key := newAuthority(t).issue()
+	pair, err := tls.LoadX509KeyPair(certificate, key)
+	assert.NilError(t, err)
+	return &tls.Config{InsecureSkipVerify: true, Certificates: []tls.Certificate{pair}}
+}
+
+// startEcho starts a backend server that returns the body and the trailer of each request.
+func startEcho(t *testing.T, n *mesh.Node) *httptest.Server {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Trailer", "X-Sum")
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		_, _ = w.Write(body)
+		w.Header().Set("X-Sum", "answer to "+r.Trailer.Get("X-Sum"))
+	}))
+	t.Cleanup(server.Close)
+	client := n.Operator()
+	client.Token = mesh.BackendToken
+	assert.NilError(t, client.Announce(t.Context(), operatorapi.Announcement{
+		Name: "echo", Address: strings.TrimPrefix(server.URL, "http://"), Labels: declaration.Labels{"service": "echo"}, Slots: 4, TimeToLive: 60,
+	}))
+	return server
+}
+
+func declareEcho(t *testing.T, m *mesh.Mesh) {
+	t.Helper()
+	entries, faults := declaration.Read("echo", []byte("kind: service\nname: echo\nbackendServers: {service: echo}\n---\nkind: intent\nname: echo\ntarget: echo\nmatch: {pathPrefix: /}\n"))
+	assert.Equal(t, len(faults), 0)
+	s := versionlog.Submission{RequestID: "echo", Operator: "test"}
+	for _, e := range entries {
+		s.Proposals = append(s.Proposals, versionlog.Proposal{Edit: declaration.Edit{Key: e.Key(), Content: e.Content()}})
+	}
+	r := m.Nodes()[0].Daemon().Core().Node.Submit(t.Context(), s)
+	assert.NilError(t, r.Err())
+	awaitVersion(t, r.Version(), m.Nodes()...)
+}
+
+type echoed struct{ body, trailer string }
+
+// sendWithTrailer sends a streamed body with a trailer until the backend server is known at the entry.
+func sendWithTrailer(t *testing.T, n *mesh.Node) echoed {
+	t.Helper()
+	for range 600 {
+		r, err := http.NewRequest(http.MethodPost, "http://"+n.Callers()+"/", io.MultiReader(strings.NewReader("bo"), strings.NewReader("dy")))
+		assert.NilError(t, err)
+		r.Trailer = http.Header{"X-Sum": {"checksum"}}
+		response, err := http.DefaultClient.Do(r)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return echoed{body: string(body), trailer: response.Trailer.Get("X-Sum")}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatal("the request was never served")
+	return echoed{}
+}
+
+func TestTrailersPassBothWays(t *testing.T) {
+	m := startMesh(t, 1, "a", "b")
+	startEcho(t, m.Nodes()[1])
+	declareEcho(t, m)
+	assert.Equal(t, sendWithTrailer(t, m.Nodes()[0]).trailer, "answer to checksum")
+}
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -173,6 +173,9 @@
 // Callers returns the address of the caller listener.
 func (n *Node) Callers() string { return n.callers }
 
+// Peers returns the address of the peer listener.
+func (n *Node) Peers() string { return n.peers }
+
 // Daemon returns the daemon, or nil after Kill.
 func (n *Node) Daemon() *daemon.Daemon { return n.daemon }
 
