--- a/cmd/command/apply.go
+++ b/cmd/command/apply.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"siskinspar.example/cmd/change"
+	"siskinspar.example/cmd/option"
 	"siskinspar.example/cmd/step/await"
 	"siskinspar.example/cmd/step/compare"
 	"siskinspar.example/cmd/step/declare"
@@ -32,7 +33,7 @@
 		Name:      "apply",
 		Usage:     "put the declarations of a directory in force",
 		ArgsUsage: "DIR",
-		Flags: operatorFlags(append(changeFlags(), pruneFlag(),
+		Flags: option.OperatorFlags(append(changeFlags(), pruneFlag(),
 			&cli.StringFlag{Name: "message", Usage: "`TEXT` for the history"},
 			&cli.StringFlag{Name: "request-id", Usage: "`ID` of an earlier try whose outcome is not known"},
 		)...),
@@ -90,7 +91,7 @@
 	if p.Wait > 0 && p.Result.Version > 0 {
 		result.Convergence = &p.Convergence
 	}
-	if err := show(c, result, func(w io.Writer) { writeApplied(w, result) }); err != nil {
+	if err := option.Show(c, result, func(w io.Writer) { writeApplied(w, result) }); err != nil {
 		return err
 	}
 	return outcomeOf(p)
@@ -99,13 +100,13 @@
 func outcomeOf(p *change.Change) error {
 	switch {
 	case len(p.Result.Conflicts) > 0:
-		return exit(ExitConflict, eris.New(p.Result.Reason))
+		return option.Exit(option.ExitConflict, eris.New(p.Result.Reason))
 	case p.Result.Disposition == versionlog.DispositionRefused:
-		return exit(ExitInvalid, eris.New(p.Result.Reason))
+		return option.Exit(option.ExitInvalid, eris.New(p.Result.Reason))
 	case p.Result.Disposition == versionlog.DispositionUnsettled:
-		return exit(ExitUnsettled, eris.New(p.Result.Reason))
+		return option.Exit(option.ExitUnsettled, eris.New(p.Result.Reason))
 	case p.Wait > 0 && !p.Convergence.IsComplete():
-		return exit(ExitLagging, eris.Errorf("version %d lags on %v", p.Result.Version, p.Convergence.Lagging))
+		return option.Exit(option.ExitLagging, eris.Errorf("version %d lags on %v", p.Result.Version, p.Convergence.Lagging))
 	}
 	return nil
 }
--- a/cmd/command/daemon.go
+++ b/cmd/command/daemon.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"siskinspar.example/cmd/option"
 	"siskinspar.example/daemon"
 	"siskinspar.example/daemon/settings"
 )
@@ -32,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	d := &daemon.Daemon{Settings: s, Logger: newLogger(c.Root().ErrWriter, s.Log.SlogLevel())}
+	d := &daemon.Daemon{Settings: s, Logger: option.NewLogger(c.Root().ErrWriter, s.Log.SlogLevel())}
 	if err := d.Start(); err != nil {
 		return err
 	}
@@ -48,14 +49,14 @@
 	signal.Notify(second, os.Interrupt, syscall.SIGTERM)
 	<-second
 	d.Logger.Warn("daemon: stopped at once by a second signal", "requests-cut", d.InFlight())
-	os.Exit(ExitFailure)
+	os.Exit(option.ExitFailure)
 }
 
 // readSettings reads, completes and checks a settings file; the error lists every fault on a line of its own.
 func readSettings(path string) (*settings.Settings, error) {
 	s, faults, err := settings.Read(path)
 	if err != nil {
-		return nil, exit(ExitInvalid, err)
+		return nil, option.Exit(option.ExitInvalid, err)
 	}
 	faults = append(faults, daemon.Prepare(s)...)
 	if len(faults) == 0 {
@@ -65,5 +66,5 @@
 	for _, f := range faults {
 		text += "\n" + f.String()
 	}
-	return nil, exit(ExitInvalid, eris.New(text))
+	return nil, option.Exit(option.ExitInvalid, eris.New(text))
 }
--- a/cmd/command/drain.go
+++ b/cmd/command/drain.go
@@ -6,6 +6,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"siskinspar.example/cmd/option"
 	"siskinspar.example/daemon/operatorapi"
 )
 
@@ -13,9 +14,9 @@
 	return &cli.Command{
 		Name:  "drain",
 		Usage: "keep new work from the backend servers beside a daemon",
-		Flags: operatorFlags(&cli.BoolFlag{Name: "undo", Usage: "let new work in again"}),
+		Flags: option.OperatorFlags(&cli.BoolFlag{Name: "undo", Usage: "let new work in again"}),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := newClient(c)
+			client, err := option.NewClient(c)
 			if err != nil {
 				return err
 			}
--- a/cmd/command/history.go
+++ b/cmd/command/history.go
@@ -8,15 +8,17 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"siskinspar.example/cmd/option"
 )
 
 func newHistory() *cli.Command {
 	return &cli.Command{
 		Name:  "history",
 		Usage: "list the newest versions",
-		Flags: operatorFlags(),
+		Flags: option.OperatorFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := newClient(c)
+			client, err := option.NewClient(c)
 			if err != nil {
 				return err
 			}
@@ -24,7 +26,7 @@
 			if err != nil {
 				return err
 			}
-			return show(c, entries, func(w io.Writer) {
+			return option.Show(c, entries, func(w io.Writer) {
 				t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 				fmt.Fprintln(t, "VERSION\tTIME\tOPERATOR\tCHANGED\tMESSAGE")
 				for _, e := range entries {
--- a/cmd/command/plan.go
+++ b/cmd/command/plan.go
@@ -8,6 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	"siskinspar.example/cmd/change"
+	"siskinspar.example/cmd/option"
 	"siskinspar.example/cmd/step/compare"
 	"siskinspar.example/cmd/step/declare"
 	"siskinspar.example/declaration"
@@ -19,7 +20,7 @@
 		Name:      "plan",
 		Usage:     "show what apply would change",
 		ArgsUsage: "DIR",
-		Flags:     operatorFlags(pruneFlag()),
+		Flags:     option.OperatorFlags(pruneFlag()),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			p, err := newChange(c)
 			if err != nil {
@@ -28,7 +29,7 @@
 			if err := change.Run(ctx, p, []change.Step{declare.Step{}, compare.Step{}}); err != nil {
 				return err
 			}
-			return show(c, plannedOf(p), func(w io.Writer) { writePlan(w, p) })
+			return option.Show(c, plannedOf(p), func(w io.Writer) { writePlan(w, p) })
 		},
 	}
 }
@@ -39,11 +40,11 @@
 
 // newChange returns a change with the options of the command line.
 func newChange(c *cli.Command) (*change.Change, error) {
-	directory, err := argument(c, "DIR")
+	directory, err := option.Argument(c, "DIR")
 	if err != nil {
 		return nil, err
 	}
-	client, err := newClient(c)
+	client, err := option.NewClient(c)
 	if err != nil {
 		return nil, err
 	}
@@ -51,7 +52,7 @@
 		Directory: directory,
 		Client:    client,
 		IsPruning: c.Bool("prune"),
-		Logger:    newLogger(c.Root().ErrWriter, logLevel(c)),
+		Logger:    option.NewLogger(c.Root().ErrWriter, logLevel(c)),
 	}, nil
 }
 
--- a/cmd/command/quarantine.go
+++ b/cmd/command/quarantine.go
@@ -9,6 +9,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"siskinspar.example/cmd/option"
 	"siskinspar.example/daemon/operatorapi"
 	"siskinspar.example/request/quarantine"
 )
@@ -25,9 +26,9 @@
 	return &cli.Command{
 		Name:  "list",
 		Usage: "list the requests",
-		Flags: operatorFlags(),
+		Flags: option.OperatorFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := newClient(c)
+			client, err := option.NewClient(c)
 			if err != nil {
 				return err
 			}
@@ -35,7 +36,7 @@
 			if err != nil {
 				return err
 			}
-			return show(c, entries, func(w io.Writer) { writeQuarantine(w, entries) })
+			return option.Show(c, entries, func(w io.Writer) { writeQuarantine(w, entries) })
 		},
 	}
 }
@@ -54,13 +55,13 @@
 		Name:      "release",
 		Usage:     "let a request run again",
 		ArgsUsage: "FINGERPRINT",
-		Flags:     operatorFlags(),
+		Flags:     option.OperatorFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			fingerprint, err := argument(c, "FINGERPRINT")
+			fingerprint, err := option.Argument(c, "FINGERPRINT")
 			if err != nil {
 				return err
 			}
-			client, err := newClient(c)
+			client, err := option.NewClient(c)
 			if err != nil {
 				return err
 			}
--- a/cmd/command/rollback.go
+++ b/cmd/command/rollback.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"siskinspar.example/cmd/change"
+	"siskinspar.example/cmd/option"
 	"siskinspar.example/cmd/step/await"
 	"siskinspar.example/daemon/operatorapi"
 	"siskinspar.example/declaration"
@@ -20,25 +21,25 @@
 		Name:      "rollback",
 		Usage:     "make a new version with the content of an old one",
 		ArgsUsage: "VERSION",
-		Flags:     operatorFlags(changeFlags()...),
+		Flags:     option.OperatorFlags(changeFlags()...),
 		Action:    runRollback,
 	}
 }
 
 func runRollback(ctx context.Context, c *cli.Command) error {
-	text, err := argument(c, "VERSION")
+	text, err := option.Argument(c, "VERSION")
 	if err != nil {
 		return err
 	}
 	v, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
-		return exit(ExitInvalid, eris.Errorf("%q is not a version", text))
+		return option.Exit(option.ExitInvalid, eris.Errorf("%q is not a version", text))
 	}
-	client, err := newClient(c)
+	client, err := option.NewClient(c)
 	if err != nil {
 		return err
 	}
-	p := &change.Change{Client: client, Wait: waitOf(c), Logger: newLogger(c.Root().ErrWriter, logLevel(c))}
+	p := &change.Change{Client: client, Wait: waitOf(c), Logger: option.NewLogger(c.Root().ErrWriter, logLevel(c))}
 	p.Result, err = client.Rollback(ctx, operatorapi.Rollback{
 		Version: declaration.Version(v), RequestID: versionlog.RequestID(uuid.NewString()), Operator: c.String("as"),
 	})
--- a/cmd/command/root.go
+++ b/cmd/command/root.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -11,39 +10,10 @@
 
 	"github.com/urfave/cli/v3"
 
-	"siskinspar.example/daemon/operatorapi"
-	"siskinspar.example/declaration"
+	"siskinspar.example/cmd/option"
+	"siskinspar.example/cmd/trial"
 )
 
-// The exit codes.
-const (
-	ExitOK = 0
-	// ExitFailure means that the command could not do its work.
-	ExitFailure = 1
-	// ExitInvalid means that the command line, the declarations or the settings are at fault.
-	ExitInvalid = 2
-	// ExitConflict means that another operator changed the same declarations first.
-	ExitConflict = 3
-	// ExitUnsettled means that it is not known whether the change was accepted.
-	ExitUnsettled = 4
-	// ExitLagging means that the version was accepted, but is not yet in force everywhere.
-	ExitLagging = 5
-)
-
-// exitError carries the exit code of a command.
-type exitError struct {
-	code int
-	err  error
-}
-
-// Error returns the underlying error.
-func (e *exitError) Error() string { return e.err.Error() }
-
-// Unwrap returns the underlying error.
-func (e *exitError) Unwrap() error { return e.err }
-
-func exit(code int, err error) error { return &exitError{code: code, err: err} }
-
 // Execute runs the command line and returns the exit code.
 func Execute(arguments []string, out, errOut io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -51,25 +21,10 @@
 	root := newRoot(out, errOut)
 	err := root.Run(ctx, arguments)
 	if err == nil {
-		return ExitOK
+		return option.ExitOK
 	}
 	fmt.Fprintln(errOut, "siskinspar:", err)
-	return codeOf(err)
-}
-
-func codeOf(err error) int {
-	var coded *exitError
-	var invalid *declaration.InvalidError
-	var status *operatorapi.StatusError
-	switch {
-	case errors.As(err, &coded):
-		return coded.code
-	case errors.As(err, &invalid):
-		return ExitInvalid
-	case errors.As(err, &status) && status.Status() < 500:
-		return ExitInvalid
-	}
-	return ExitFailure
+	return option.CodeOf(err)
 }
 
 func newRoot(out, errOut io.Writer) *cli.Command {
@@ -82,7 +37,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			newDaemon(),
-			newStandin(),
+			trial.NewStandin(),
 			newValidate(),
 			newPlan(),
 			newApply(),
@@ -93,8 +48,8 @@
 			newQuarantine(),
 			newTimeline(),
 			newSettings(),
-			newLoad(),
-			newDemo(),
+			trial.NewLoad(),
+			trial.NewDemo(),
 		},
 	}
 }
--- a/cmd/command/settings.go
+++ b/cmd/command/settings.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/urfave/cli/v3"
+
+	"siskinspar.example/cmd/option"
 )
 
 func newSettings() *cli.Command {
@@ -21,7 +23,7 @@
 		Usage:     "list every fault of a settings file",
 		ArgsUsage: "FILE",
 		Action: func(_ context.Context, c *cli.Command) error {
-			path, err := argument(c, "FILE")
+			path, err := option.Argument(c, "FILE")
 			if err != nil {
 				return err
 			}
--- a/cmd/command/status.go
+++ b/cmd/command/status.go
@@ -8,6 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"siskinspar.example/cmd/option"
 	"siskinspar.example/daemon/operatorapi"
 )
 
@@ -15,9 +16,9 @@
 	return &cli.Command{
 		Name:  "status",
 		Usage: "show a daemon, its members and its backend servers",
-		Flags: operatorFlags(),
+		Flags: option.OperatorFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := newClient(c)
+			client, err := option.NewClient(c)
 			if err != nil {
 				return err
 			}
@@ -25,7 +26,7 @@
 			if err != nil {
 				return err
 			}
-			return show(c, s, func(w io.Writer) { writeStatus(w, s) })
+			return option.Show(c, s, func(w io.Writer) { writeStatus(w, s) })
 		},
 	}
 }
--- a/cmd/command/timeline.go
+++ b/cmd/command/timeline.go
@@ -8,6 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"siskinspar.example/cmd/option"
 	"siskinspar.example/daemon/operatorapi"
 	"siskinspar.example/timeline"
 )
@@ -16,7 +17,7 @@
 	return &cli.Command{
 		Name:  "timeline",
 		Usage: "show the events of all daemons in causal order",
-		Flags: operatorFlags(
+		Flags: option.OperatorFlags(
 			&cli.StringSliceFlag{Name: "kind", Usage: "only events of this `KIND`; may be repeated"},
 			&cli.StringFlag{Name: "instance", Usage: "only events of this `INSTANCE`"},
 			&cli.DurationFlag{Name: "since", Usage: "only events of the last `TIME`"},
@@ -27,7 +28,7 @@
 }
 
 func runTimeline(ctx context.Context, c *cli.Command) error {
-	client, err := newClient(c)
+	client, err := option.NewClient(c)
 	if err != nil {
 		return err
 	}
--- a/cmd/command/validate.go
+++ b/cmd/command/validate.go
@@ -7,6 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"siskinspar.example/cmd/option"
 	"siskinspar.example/declaration"
 )
 
@@ -15,9 +16,9 @@
 		Name:      "validate",
 		Usage:     "check the declarations of a directory without a daemon",
 		ArgsUsage: "DIR",
-		Flags:     []cli.Flag{outputFlag()},
+		Flags:     []cli.Flag{option.OutputFlag()},
 		Action: func(_ context.Context, c *cli.Command) error {
-			directory, err := argument(c, "DIR")
+			directory, err := option.Argument(c, "DIR")
 			if err != nil {
 				return err
 			}
@@ -26,7 +27,7 @@
 				return err
 			}
 			result := validated{Declarations: set.Len(), Digest: set.Digest()}
-			return show(c, result, func(w io.Writer) {
+			return option.Show(c, result, func(w io.Writer) {
 				fmt.Fprintf(w, "%d declarations, digest %s\n", result.Declarations, result.Digest)
 			})
 		},
--- /dev/null
+++ b/cmd/option/doc.go
@@ -0,0 +1,3 @@
+// Package option holds the flags, exit codes and output formats that the
+// commands share.
+package option
--- a/cmd/command/option.go
+++ b/cmd/option/option.go
@@ -1,4 +1,4 @@
-package command
+package option
 
 import (
 	"encoding/json"
@@ -15,20 +15,21 @@
 	"siskinspar.example/daemon/operatorapi"
 )
 
-// requestTimeout bounds one call to an operator listener.
-const requestTimeout = 30 * time.Second
+// RequestTimeout bounds one call to an operator listener.
+const RequestTimeout = 30 * time.Second
 
-// operatorFlags are the flags of every command that calls a daemon.
-func operatorFlags(more ...cli.Flag) []cli.Flag {
+// OperatorFlags are the flags of every command that calls a daemon.
+func OperatorFlags(more ...cli.Flag) []cli.Flag {
 	return append([]cli.Flag{
 		&cli.StringFlag{Name: "operator", Usage: "`ADDRESS` of the operator listener of any daemon", Required: true},
 		&cli.StringFlag{Name: "token", Usage: "operators' `TOKEN`"},
 		&cli.StringFlag{Name: "token-file", Usage: "`FILE` that holds the operators' token"},
-		outputFlag(),
+		OutputFlag(),
 	}, more...)
 }
 
-func outputFlag() cli.Flag {
+// OutputFlag chooses between text and JSON.
+func OutputFlag() cli.Flag {
 	return &cli.StringFlag{Name: "output", Usage: "`FORMAT` of the output: text or json", Value: "text", Validator: func(s string) error {
 		if s != "text" && s != "json" {
 			return eris.Errorf("output must be text or json, not %q", s)
@@ -37,20 +38,21 @@
 	}}
 }
 
-func newClient(c *cli.Command) (*operatorapi.Client, error) {
+// NewClient returns a client of the operator listener that the flags name.
+func NewClient(c *cli.Command) (*operatorapi.Client, error) {
 	token := c.String("token")
 	if file := c.String("token-file"); file != "" {
 		data, err := os.ReadFile(file)
 		if err != nil {
-			return nil, exit(ExitInvalid, eris.Wrap(err, "read token"))
+			return nil, Exit(ExitInvalid, eris.Wrap(err, "read token"))
 		}
 		token = strings.TrimSpace(string(data))
 	}
-	return &operatorapi.Client{Address: c.String("operator"), Token: token, HTTP: &http.Client{Timeout: requestTimeout}}, nil
+	return &operatorapi.Client{Address: c.String("operator"), Token: token, HTTP: &http.Client{Timeout: RequestTimeout}}, nil
 }
 
-// show writes a value as indented JSON, or with the given function as text.
-func show(c *cli.Command, value any, text func(w io.Writer)) error {
+// Show writes a value as indented JSON, or with the given function as text.
+func Show(c *cli.Command, value any, text func(w io.Writer)) error {
 	if c.String("output") != "json" {
 		text(c.Root().Writer)
 		return nil
@@ -60,14 +62,15 @@
 	return e.Encode(value)
 }
 
-// argument returns the only argument of a command.
-func argument(c *cli.Command, name string) (string, error) {
+// Argument returns the only argument of a command.
+func Argument(c *cli.Command, name string) (string, error) {
 	if c.Args().Len() != 1 {
-		return "", exit(ExitInvalid, eris.Errorf("one argument is expected: %s", name))
+		return "", Exit(ExitInvalid, eris.Errorf("one argument is expected: %s", name))
 	}
 	return c.Args().First(), nil
 }
 
-func newLogger(w io.Writer, level slog.Level) *slog.Logger {
+// NewLogger returns a logger that writes text lines from a level upwards.
+func NewLogger(w io.Writer, level slog.Level) *slog.Logger {
 	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level}))
 }
--- a/cmd/step/submit/step.go
+++ b/cmd/step/submit/step.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"siskinspar.example/cmd/change"
+	"siskinspar.example/daemon/backoff"
 	"siskinspar.example/daemon/operatorapi"
 	"siskinspar.example/versionlog"
 )
@@ -54,7 +55,7 @@
 			return err
 		}
 		c.Logger.Warn("change: submission not settled, sending it again", "request", c.RequestID, "error", err)
-		if !sleep(ctx, pause) {
+		if !backoff.Sleep(ctx, pause) {
 			return ctx.Err()
 		}
 	}
@@ -69,14 +70,3 @@
 	}
 	return err == nil && r.Disposition != versionlog.DispositionUnsettled
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/cmd/command/demo.go
+++ b/cmd/trial/demo.go
@@ -1,4 +1,4 @@
-package command
+package trial
 
 import (
 	"context"
@@ -8,7 +8,8 @@
 	"siskinspar.example/cmd/demo"
 )
 
-func newDemo() *cli.Command {
+// NewDemo returns the command that runs the demo.
+func NewDemo() *cli.Command {
 	return &cli.Command{
 		Name:  "demo",
 		Usage: "run a whole mesh on loopback and check what it promises",
--- a/cmd/command/load.go
+++ b/cmd/trial/load.go
@@ -1,4 +1,4 @@
-package command
+package trial
 
 import (
 	"context"
@@ -12,10 +12,12 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"siskinspar.example/cmd/option"
 	"siskinspar.example/standin/load"
 )
 
-func newLoad() *cli.Command {
+// NewLoad returns the command that sends load.
+func NewLoad() *cli.Command {
 	return &cli.Command{
 		Name:      "load",
 		Usage:     "send requests to caller listeners and check each answer of the stand-ins",
@@ -36,7 +38,7 @@
 }
 
 func runLoad(ctx context.Context, c *cli.Command) error {
-	path, err := argument(c, "PATH")
+	path, err := option.Argument(c, "PATH")
 	if err != nil {
 		return err
 	}
@@ -58,7 +60,7 @@
 }
 
 func newLoadClient(connections int) *http.Client {
-	return &http.Client{Timeout: requestTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: connections, MaxIdleConns: connections}}
+	return &http.Client{Timeout: option.RequestTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: connections, MaxIdleConns: connections}}
 }
 
 func writeTallies(w io.Writer, tallies map[string]*load.Tally) {
--- a/cmd/command/standin.go
+++ b/cmd/trial/standin.go
@@ -1,4 +1,4 @@
-package command
+package trial
 
 import (
 	"context"
@@ -10,13 +10,15 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"siskinspar.example/cmd/option"
 	"siskinspar.example/daemon/operatorapi"
 	"siskinspar.example/daemon/settings"
 	platform "siskinspar.example/platform/standin"
 	"siskinspar.example/standin/backend"
 )
 
-func newStandin() *cli.Command {
+// NewStandin returns the commands that run stand-ins.
+func NewStandin() *cli.Command {
 	return &cli.Command{
 		Name:     "standin",
 		Usage:    "run a stand-in for what surrounds the daemons",
@@ -62,12 +64,12 @@
 func runStandinBackend(ctx context.Context, c *cli.Command) error {
 	labels, err := settings.ParseLabels(c.String("labels"))
 	if err != nil {
-		return exit(ExitInvalid, err)
+		return option.Exit(option.ExitInvalid, err)
 	}
 	const crashCode = 70
 	s := &backend.Server{Name: c.String("name"), Slots: c.Int("slots"), ColdStart: c.Duration("cold-start"), Crash: func() { os.Exit(crashCode) }}
 	a := &backend.Announcer{
-		Client: &operatorapi.Client{Address: c.String("daemon"), Token: c.String("token"), HTTP: &http.Client{Timeout: requestTimeout}},
+		Client: &operatorapi.Client{Address: c.String("daemon"), Token: c.String("token"), HTTP: &http.Client{Timeout: option.RequestTimeout}},
 		Announcement: operatorapi.Announcement{
 			Name: c.String("name"), Address: c.String("listen"), Labels: labels, Slots: c.Int("slots"), Connections: c.Int("connections"),
 			TimeToLive: 3, HealthPath: "/standin/health", LoadPath: "/standin/load",
@@ -85,7 +87,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", address)
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: requestTimeout}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: option.RequestTimeout}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(l) }()
 	select {
--- /dev/null
+++ b/daemon/backoff/doc.go
@@ -0,0 +1,2 @@
+// Package backoff spreads and bounds waits.
+package backoff
--- a/daemon/claimer/claimer.go
+++ b/daemon/claimer/claimer.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"siskinspar.example/daemon/backoff"
 	"siskinspar.example/platform"
 	"siskinspar.example/request/claim"
 	"siskinspar.example/request/outcome"
@@ -215,7 +216,7 @@
 			return a.isOwn(ctx)
 		case !platform.IsCause(err, platform.CauseUnknown):
 			return false, a.refusal(outcome.ReasonStore)
-		case !sleep(ctx, pause):
+		case !backoff.Sleep(ctx, pause):
 			return false, a.refusal(outcome.ReasonStore)
 		}
 	}
@@ -266,7 +267,7 @@
 		return false, nil, unsettled()
 	}
 	// The answer of an ended attempt is being stored, and that of an unknown one may be; both are looked for.
-	for sleep(ctx, pause) {
+	for backoff.Sleep(ctx, pause) {
 		row, _, failure := a.look(ctx)
 		if failure == nil && row.Answer != nil && row.Token == found.Token {
 			answer, refused := a.replay(ctx, row)
--- a/daemon/claimer/store.go
+++ b/daemon/claimer/store.go
@@ -63,14 +63,3 @@
 	}
 	return false
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/daemon/control/committer.go
+++ b/daemon/commit/committer.go
@@ -1,12 +1,14 @@
-package control
+package commit
 
 import (
 	"context"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/conc"
 
+	"siskinspar.example/daemon/backoff"
+	"siskinspar.example/daemon/link"
+	"siskinspar.example/daemon/storage"
 	"siskinspar.example/declaration"
 	"siskinspar.example/platform"
 	"siskinspar.example/timeline"
@@ -19,6 +21,8 @@
 	maximumBatch = 64
 	// submissionQueue bounds the submissions that wait for a commit.
 	submissionQueue = 256
+	// retryPause is the mean wait before a commit is tried again after the store failed.
+	retryPause = 200 * time.Millisecond
 	// commitAttempts bounds how often one batch is planned anew after another daemon came first.
 	commitAttempts = 20
 )
@@ -42,31 +46,45 @@
 	result     chan versionlog.Result
 }
 
-// committer commits the submissions that reach this daemon, several in one version where they are disjoint.
-type committer struct {
-	node  *Node
-	queue chan pending
-	group conc.WaitGroup
+// Distributor puts versions in force, here and at the other daemons.
+type Distributor interface {
+	// Enter puts changes in force on this daemon.
+	Enter(changes []versionlog.Change) error
+	// Publish spreads changes to the other daemons.
+	Publish(changes []versionlog.Change)
+	// CatchUp reads from the store what leads to a version.
+	CatchUp(ctx context.Context, target declaration.Version) ([]versionlog.Change, error)
+	// ReportRefusal logs a version that could not be put in force.
+	ReportRefusal(err error)
 }
 
-func newCommitter(n *Node) *committer {
-	return &committer{node: n, queue: make(chan pending, submissionQueue)}
+// Committer commits the submissions that reach this daemon, several in one version where they are disjoint.
+//
+// Its exported fields are set before Start.
+type Committer struct {
+	*link.Link
+	Storage     *storage.Storage
+	Distributor Distributor
+
+	queue chan pending
+	done  chan struct{}
 }
 
-func (n *Node) startCommitter(ctx context.Context) {
-	n.committer.group.Go(func() { n.committer.run(ctx) })
+// Start commits until the context ends.
+func (c *Committer) Start(ctx context.Context) {
+	c.queue = make(chan pending, submissionQueue)
+	c.done = make(chan struct{})
+	go c.run(ctx)
 }
 
-func (c *committer) wait() { c.group.Wait() }
+// Done returns a channel that is closed once the last commit has ended.
+func (c *Committer) Done() <-chan struct{} { return c.done }
 
 // Submit commits a submission and returns its result.
-func (n *Node) Submit(ctx context.Context, s versionlog.Submission) versionlog.Result {
-	if !n.IsReady() {
-		return versionlog.NewRefused(eris.New("daemon is not ready"))
-	}
+func (c *Committer) Submit(ctx context.Context, s versionlog.Submission) versionlog.Result {
 	p := pending{submission: s, result: make(chan versionlog.Result, 1)}
 	select {
-	case n.committer.queue <- p:
+	case c.queue <- p:
 	default:
 		return versionlog.NewRefused(eris.New("too many submissions are waiting"))
 	}
@@ -78,7 +96,8 @@
 	}
 }
 
-func (c *committer) run(ctx context.Context) {
+func (c *Committer) run(ctx context.Context) {
+	defer close(c.done)
 	for {
 		select {
 		case <-ctx.Done():
@@ -90,7 +109,7 @@
 }
 
 // collect takes the submissions that arrived while the last commit was on its way.
-func (c *committer) collect(first pending) []pending {
+func (c *Committer) collect(first pending) []pending {
 	batch := []pending{first}
 	for len(batch) < maximumBatch {
 		select {
@@ -104,7 +123,7 @@
 }
 
 // commit plans and commits a batch until each of its submissions is settled.
-func (c *committer) commit(ctx context.Context, batch []pending) {
+func (c *Committer) commit(ctx context.Context, batch []pending) {
 	var last error
 	for range commitAttempts {
 		batch = c.settleKnown(ctx, batch)
@@ -117,7 +136,7 @@
 		}
 		last = err
 		if err != nil && !platform.IsCause(err, platform.CauseConflict) {
-			sleep(ctx, jitter(firstBackoff))
+			backoff.Sleep(ctx, backoff.Jitter(retryPause))
 		}
 		if ctx.Err() != nil {
 			break
@@ -129,13 +148,13 @@
 }
 
 // settleKnown answers the submissions whose request id the store already holds and returns the others.
-func (c *committer) settleKnown(ctx context.Context, batch []pending) []pending {
+func (c *Committer) settleKnown(ctx context.Context, batch []pending) []pending {
 	var open []pending
 	for _, p := range batch {
-		call, cancel := context.WithTimeout(ctx, c.node.StoreTimeout)
-		v, err := c.node.Log.FindRequest(call, p.submission.RequestID)
+		call, cancel := context.WithTimeout(ctx, c.Storage.Timeout)
+		v, err := c.Storage.Log.FindRequest(call, p.submission.RequestID)
 		cancel()
-		c.node.noteStore(err)
+		c.Storage.Note(err)
 		if err == nil && v > 0 {
 			p.result <- versionlog.NewAccepted(v)
 			continue
@@ -146,9 +165,8 @@
 }
 
 // attempt commits one version; it is settled when every submission has got its result.
-func (c *committer) attempt(ctx context.Context, batch []pending) (bool, error) {
-	n := c.node
-	call, cancel := context.WithTimeout(ctx, n.StoreTimeout)
+func (c *Committer) attempt(ctx context.Context, batch []pending) (bool, error) {
+	call, cancel := context.WithTimeout(ctx, c.Storage.Timeout)
 	defer cancel()
 	head, err := c.prepare(call)
 	if err != nil {
@@ -158,13 +176,13 @@
 	for _, p := range batch {
 		submissions = append(submissions, p.submission)
 	}
-	state := n.Configuration.State()
+	state := c.Configuration.State()
 	if state.Version() != head.Version {
 		return false, platform.NewError("prepare", platform.CauseConflict, nil)
 	}
 	change, results := versionlog.Plan(state, submissions, time.Now().UTC())
 	if len(change.Accepted) > 0 {
-		if _, err := n.Log.Commit(call, head, change); err != nil {
+		if _, err := c.Storage.Log.Commit(call, head, change); err != nil {
 			c.noteCommitError(err)
 			return false, err
 		}
@@ -175,58 +193,57 @@
 }
 
 // prepare reads the head and brings this daemon to it.
-func (c *committer) prepare(ctx context.Context) (record.Head, error) {
-	head, err := c.node.Log.Head(ctx)
-	c.node.noteStore(err)
-	if err != nil || head.Version <= c.node.Configuration.Version() {
+func (c *Committer) prepare(ctx context.Context) (record.Head, error) {
+	head, err := c.Storage.Log.Head(ctx)
+	c.Storage.Note(err)
+	if err != nil || head.Version <= c.Configuration.Version() {
 		return head, err
 	}
-	changes, err := c.node.catchUp(ctx, head.Version)
+	changes, err := c.Distributor.CatchUp(ctx, head.Version)
 	if err != nil {
 		return head, err
 	}
-	c.node.publish(changes)
+	c.Distributor.Publish(changes)
 	return head, nil
 }
 
-func (c *committer) noteCommitError(err error) {
+func (c *Committer) noteCommitError(err error) {
 	if !platform.IsCause(err, platform.CauseConflict) {
-		c.node.noteStore(err)
+		c.Storage.Note(err)
 	}
 }
 
-func (c *committer) accept(change versionlog.Change) {
-	n := c.node
-	n.Recorder.Record(timeline.Event{Kind: timeline.KindVersionAccepted, Version: uint64(change.Version), Subject: change.Accepted[0].Operator})
-	if err := n.enter([]versionlog.Change{change}); err != nil {
-		n.reportRefusal(err)
+func (c *Committer) accept(change versionlog.Change) {
+	c.Recorder.Record(timeline.Event{Kind: timeline.KindVersionAccepted, Version: uint64(change.Version), Subject: change.Accepted[0].Operator})
+	if err := c.Distributor.Enter([]versionlog.Change{change}); err != nil {
+		c.Distributor.ReportRefusal(err)
 		return
 	}
-	n.publish([]versionlog.Change{change})
+	c.Distributor.Publish([]versionlog.Change{change})
 	if change.Version%record.SnapshotInterval == 0 {
-		n.workers.try(func() { n.storeSnapshot(change.Version) })
+		c.Workers.Try(func() { c.storeSnapshot(change.Version) })
 	}
 }
 
-func (n *Node) storeSnapshot(v declaration.Version) {
-	ctx, cancel := n.storeContext()
+func (c *Committer) storeSnapshot(v declaration.Version) {
+	ctx, cancel := c.Storage.Context()
 	defer cancel()
-	state, err := n.Log.Load(ctx, v)
+	state, err := c.Storage.Log.Load(ctx, v)
 	if err == nil {
-		err = n.Log.PutSnapshot(ctx, state)
+		err = c.Storage.Log.PutSnapshot(ctx, state)
 	}
 	if err == nil {
-		_, err = n.Log.Trim(ctx, v)
+		_, err = c.Storage.Log.Trim(ctx, v)
 	}
 	if err != nil {
-		n.Logger.Warn("control: snapshot not stored", "version", v, "error", err)
+		c.Logger.Warn("commit: snapshot not stored", "version", v, "error", err)
 	}
 }
 
-func (c *committer) answer(batch []pending, results []versionlog.Result) {
+func (c *Committer) answer(batch []pending, results []versionlog.Result) {
 	for i, p := range batch {
 		if results[i].Err() != nil {
-			c.node.Recorder.Record(timeline.Event{
+			c.Recorder.Record(timeline.Event{
 				Kind: timeline.KindSubmissionRefused, Subject: p.submission.Operator, Detail: results[i].Err().Error(),
 			})
 		}
--- /dev/null
+++ b/daemon/commit/doc.go
@@ -0,0 +1,2 @@
+// Package commit turns submissions into versions.
+package commit
--- a/daemon/control/claims.go
+++ b/daemon/control/claims.go
@@ -33,6 +33,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 3*claimWait)
 	defer cancel()
 	var reply peer.ClaimReply
-	err := n.Pool.Call(ctx, address, peer.MethodClaim, &peer.ClaimRequest{Header: n.header(), Token: t}, &reply)
+	err := n.Pool.Call(ctx, address, peer.MethodClaim, &peer.ClaimRequest{Header: n.Header(), Token: t}, &reply)
 	return reply.State, err
 }
--- a/daemon/control/join.go
+++ b/daemon/control/join.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"siskinspar.example/daemon/backoff"
 	"siskinspar.example/declaration"
 	"siskinspar.example/membership"
 	"siskinspar.example/platform"
@@ -28,26 +29,17 @@
 
 // join contacts seeds and brings the configuration to the head of the store before the daemon is ready.
 func (n *Node) join(ctx context.Context) {
-	backoff := firstBackoff
+	longest := firstBackoff
 	for ctx.Err() == nil {
 		n.contactSeeds()
 		if n.reachHead() {
-			n.findEndpoints()
+			n.directory.FindEndpoints()
 			n.isReady.Store(true)
 			n.Logger.Info("control: ready", "version", n.Configuration.Version())
 			return
 		}
-		sleep(ctx, rand.N(backoff))
-		backoff = min(2*backoff, longestBackoff)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		backoff.Sleep(ctx, rand.N(longest))
+		longest = min(2*longest, longestBackoff)
 	}
 }
 
@@ -66,7 +58,7 @@
 		if addresses[i] == own || n.probeOnce(membership.Record{PeerAddress: addresses[i]}) != nil {
 			continue
 		}
-		if _, err := n.compareWith(addresses[i], maximumBuckets); err == nil {
+		if _, err := n.directory.CompareWith(addresses[i]); err == nil {
 			return true
 		}
 	}
@@ -75,10 +67,10 @@
 
 // storedSeeds returns the addresses that the relays keep in the store.
 func (n *Node) storedSeeds() []string {
-	ctx, cancel := n.storeContext()
+	ctx, cancel := n.Storage.Context()
 	defer cancel()
-	rows, err := n.Log.Table.Range(ctx, partitionSeed, "", maximumSeeds)
-	n.noteStore(err)
+	rows, err := n.Storage.Log.Table.Range(ctx, partitionSeed, "", maximumSeeds)
+	n.Storage.Note(err)
 	var addresses []string
 	for _, row := range rows {
 		var s seedRow
@@ -92,21 +84,21 @@
 // reachHead brings the configuration to the head of the store, or to the floor that the peers know while the
 // store is down.
 func (n *Node) reachHead() bool {
-	ctx, cancel := n.storeContext()
+	ctx, cancel := n.Storage.Context()
 	defer cancel()
-	head, err := n.Log.Head(ctx)
-	n.noteStore(err)
+	head, err := n.Storage.Log.Head(ctx)
+	n.Storage.Note(err)
 	floor := head.Version
 	if err != nil {
 		var isCertain bool
-		if floor, isCertain = n.findFloor(); !isCertain {
+		if floor, isCertain = n.counter.FindFloor(); !isCertain {
 			return false
 		}
 	}
 	n.Configuration.RaiseFloor(floor)
-	for _, r := range n.someMembers() {
+	for _, r := range n.SomeMembers() {
 		if n.Configuration.Version() < floor {
-			_ = n.pullFrom(r.PeerAddress)
+			_ = n.spreader.PullFrom(r.PeerAddress)
 		}
 	}
 	if n.Configuration.Snapshot() != nil && n.Configuration.Version() >= floor {
@@ -116,9 +108,9 @@
 }
 
 func (n *Node) loadHead(ctx context.Context, v declaration.Version) bool {
-	state, err := n.Log.Load(ctx, v)
+	state, err := n.Storage.Log.Load(ctx, v)
 	if err == nil {
-		err = n.install(state)
+		err = n.spreader.Install(state)
 	}
 	if err != nil {
 		n.Logger.Warn("control: can't load the configuration", "version", v, "error", err)
@@ -126,20 +118,6 @@
 	return err == nil
 }
 
-// someMembers returns a few random members of the data centre.
-func (n *Node) someMembers() []membership.Record {
-	const count = 3
-	own := n.Roster.Self()
-	group := n.Roster.Group(own.DataCentre)
-	var others []membership.Record
-	for _, i := range rand.Perm(len(group)) {
-		if group[i].ID != own.ID && len(others) < count {
-			others = append(others, group[i])
-		}
-	}
-	return others
-}
-
 // renewSeed keeps the seed rows of the data centre pointing at its relays, and contacts relays of other
 // data centres that this daemon has lost, so that parted regions find each other again.
 func (n *Node) renewSeed() {
@@ -156,9 +134,9 @@
 	if err != nil {
 		return
 	}
-	ctx, cancel := n.storeContext()
+	ctx, cancel := n.Storage.Context()
 	defer cancel()
-	n.noteStore(n.Log.Table.Transact(ctx, []platform.Write{{
+	n.Storage.Note(n.Storage.Log.Table.Transact(ctx, []platform.Write{{
 		Key: platform.Key{Partition: partitionSeed, Sort: string(own.DataCentre) + "/" + slot}, Revision: own.Incarnation, Value: value,
 	}}))
 }
--- a/daemon/control/loop.go
+++ b/daemon/control/loop.go
@@ -8,6 +8,8 @@
 
 	"github.com/sourcegraph/conc/iter"
 
+	"siskinspar.example/daemon/backoff"
+	"siskinspar.example/daemon/directory"
 	"siskinspar.example/daemon/peer"
 	"siskinspar.example/distribution"
 	"siskinspar.example/membership"
@@ -18,8 +20,6 @@
 	centreProbes = 2
 	// distributionStep is the time between two looks at the follower.
 	distributionStep = 50 * time.Millisecond
-	// comparisonPeriod is the mean time between two comparisons of the directory with another daemon.
-	comparisonPeriod = 2 * time.Second
 	// seedPeriod is the time between two renewals of the seed row by a relay.
 	seedPeriod = 30 * time.Second
 )
@@ -31,13 +31,12 @@
 	defer probe.Stop()
 	distribute := time.NewTicker(distributionStep)
 	defer distribute.Stop()
-	compare := time.NewTimer(jitter(comparisonPeriod))
+	compare := time.NewTimer(backoff.Jitter(directory.Period))
 	defer compare.Stop()
 	next := make(chan time.Duration, 1)
-	seed := time.NewTimer(jitter(n.Membership.Period))
+	seed := time.NewTimer(backoff.Jitter(n.Membership.Period))
 	defer seed.Stop()
-	n.startCommitter(ctx)
-	n.workers.try(func() { n.join(ctx) })
+	n.Workers.Try(func() { n.join(ctx) })
 	for {
 		select {
 		case <-ctx.Done():
@@ -48,33 +47,33 @@
 		case <-distribute.C:
 			n.tickDistribution()
 		case <-compare.C:
-			compare.Reset(comparisonPeriod)
-			n.workers.try(func() { next <- n.compare() })
+			compare.Reset(directory.Period)
+			n.Workers.Try(func() { next <- n.compare() })
 		case wait := <-next:
 			compare.Reset(wait)
 		case <-seed.C:
-			seed.Reset(jitter(seedPeriod))
-			n.workers.try(n.renewSeed)
+			seed.Reset(backoff.Jitter(seedPeriod))
+			n.Workers.Try(n.renewSeed)
 		}
 	}
 }
 
-func (n *Node) stop() {
-	n.committer.wait()
-	n.workers.stop()
+// compare mends the directory, by way of a seed when no other daemon is known, and returns when to do so again.
+func (n *Node) compare() time.Duration {
+	wait, ok := n.directory.Compare()
+	if !ok {
+		n.contactSeeds()
+	}
+	return wait
 }
 
-// jitter returns a time between half and one and a half of the mean, so that daemons don't act in step.
-func jitter(mean time.Duration) time.Duration {
-	return mean/2 + rand.N(mean)
+func (n *Node) stop() {
+	<-n.committer.Done()
+	n.Workers.Stop()
 }
 
 func (n *Node) tickDistribution() {
-	isRelay := n.Roster.IsRelay()
-	n.mu.Lock()
-	step := n.follower.Tick(time.Now(), isRelay && n.IsReady())
-	n.mu.Unlock()
-	n.perform(step)
+	n.spreader.Tick(n.Roster.IsRelay() && n.IsReady())
 }
 
 func (n *Node) tickMembership() {
@@ -84,7 +83,7 @@
 	n.Roster.Do(func(m *membership.Machine) { actions = m.Tick(now) })
 	n.act(actions)
 	if n.Roster.IsRelay() {
-		n.workers.try(n.probeCentre)
+		n.Workers.Try(n.probeCentre)
 	}
 }
 
@@ -116,10 +115,10 @@
 func (n *Node) act(actions []membership.Action) {
 	for _, a := range actions {
 		if len(a.Helpers()) == 0 {
-			n.workers.try(func() { n.probe(a.Target()) })
+			n.Workers.Try(func() { n.probe(a.Target()) })
 			continue
 		}
-		n.workers.try(func() { n.probeThrough(a.Helpers(), a.Target()) })
+		n.Workers.Try(func() { n.probeThrough(a.Helpers(), a.Target()) })
 	}
 }
 
@@ -136,7 +135,7 @@
 }
 
 func (n *Node) probeOnce(target membership.Record) error {
-	request := peer.ProbeRequest{Header: n.header()}
+	request := peer.ProbeRequest{Header: n.Header()}
 	n.Roster.Do(func(m *membership.Machine) { request.Probe = m.NewProbe() })
 	var reply peer.ProbeReply
 	ctx, cancel := context.WithTimeout(context.Background(), n.probeTimeout())
@@ -145,7 +144,7 @@
 		return err
 	}
 	n.Roster.Do(func(m *membership.Machine) { m.HandleAck(time.Now(), reply.Ack) })
-	n.hear(reply.Header)
+	n.spreader.Hear(reply.Header)
 	n.noteContact(reply.Header)
 	return nil
 }
@@ -163,7 +162,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*n.probeTimeout())
 	defer cancel()
 	var reply peer.IndirectReply
-	request := peer.IndirectRequest{Header: n.header(), Target: target}
+	request := peer.IndirectRequest{Header: n.Header(), Target: target}
 	err := n.Pool.Call(ctx, helper.PeerAddress, peer.MethodIndirect, &request, &reply)
 	return err == nil && reply.IsReached
 }
@@ -171,7 +170,7 @@
 // Leave tells some members that this daemon has left, so that none suspects it.
 func (n *Node) Leave() {
 	n.Roster.Do(func(m *membership.Machine) { m.Leave(time.Now()) })
-	for _, r := range n.someMembers() {
+	for _, r := range n.SomeMembers() {
 		_ = n.probeOnce(r)
 	}
 }
--- a/daemon/control/methods.go
+++ b/daemon/control/methods.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"siskinspar.example/daemon/directory"
 	"siskinspar.example/daemon/peer"
 	"siskinspar.example/distribution"
 	"siskinspar.example/membership"
@@ -20,22 +21,22 @@
 // Probe answers a probe with gossip.
 func (m *Methods) Probe(q *peer.ProbeRequest, a *peer.ProbeReply) error {
 	m.node.Roster.Do(func(s *membership.Machine) { a.Ack = s.HandleProbe(time.Now(), q.Probe) })
-	m.node.hear(q.Header)
-	a.Header = m.node.header()
+	m.node.spreader.Hear(q.Header)
+	a.Header = m.node.Header()
 	return nil
 }
 
 // Indirect probes a member for another daemon.
 func (m *Methods) Indirect(q *peer.IndirectRequest, a *peer.IndirectReply) error {
 	a.IsReached = m.node.probeOnce(q.Target) == nil
-	a.Header = m.node.header()
+	a.Header = m.node.Header()
 	return nil
 }
 
 // Hold remembers a version that is about to come in force in the data centre.
 func (m *Methods) Hold(q *peer.HoldRequest, a *peer.HoldReply) error {
-	m.node.held.raise(q.Version)
-	a.Header = m.node.header()
+	m.node.spreader.Hold(q.Version)
+	a.Header = m.node.Header()
 	return nil
 }
 
@@ -47,7 +48,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), claimWait)
 	defer cancel()
 	a.State = m.node.Claims.State(ctx, q.Token)
-	a.Header = m.node.header()
+	a.Header = m.node.Header()
 	return nil
 }
 
@@ -55,27 +56,27 @@
 func (m *Methods) Notify(q *peer.NotifyRequest, a *peer.NotifyReply) error {
 	m.node.Clock.Receive(q.Header.Stamp)
 	m.node.Notices.Receive(q.Notice)
-	m.node.forwardNotice(q.Notice, q.Interval)
-	a.Header = m.node.header()
+	m.node.spreader.ForwardNotice(q.Notice, q.Interval)
+	a.Header = m.node.Header()
 	return nil
 }
 
 // Push takes in changes and passes them on to the interval.
 func (m *Methods) Push(q *peer.PushRequest, a *peer.PushReply) error {
-	m.node.receive(q)
-	a.Header = m.node.header()
+	m.node.spreader.Receive(q)
+	a.Header = m.node.Header()
 	return nil
 }
 
 // Pull returns what follows a version.
 func (m *Methods) Pull(q *peer.PullRequest, a *peer.PullReply) error {
 	changes, ok := m.node.Configuration.ChangesAfter(q.After)
-	a.Header = m.node.header()
+	a.Header = m.node.Header()
 	if ok {
 		a.Changes = changes
 		return nil
 	}
-	image, err := m.node.images.get(m.node.Configuration)
+	image, err := m.node.spreader.Image()
 	a.Image = image
 	return err
 }
@@ -83,41 +84,41 @@
 // Compare returns the digests of the data centres whose summaries differ.
 func (m *Methods) Compare(q *peer.CompareRequest, a *peer.CompareReply) error {
 	m.node.Roster.Do(func(s *membership.Machine) { a.Digests = s.Differing(q.Summaries) })
-	a.Header = m.node.header()
+	a.Header = m.node.Header()
 	return nil
 }
 
 // Fetch merges the records of the sender and returns those of this daemon for the same buckets.
 func (m *Methods) Fetch(q *peer.FetchRequest, a *peer.FetchReply) error {
-	if len(q.Buckets) > maximumBuckets {
-		return eris.Errorf("more than %d buckets asked for", maximumBuckets)
+	if len(q.Buckets) > directory.MaximumBuckets {
+		return eris.Errorf("more than %d buckets asked for", directory.MaximumBuckets)
 	}
 	var own []membership.Record
 	m.node.Roster.Do(func(s *membership.Machine) { own = s.Records(q.Buckets) })
-	if err := m.node.merge(q.Records); err != nil {
+	if err := m.node.directory.Merge(q.Records); err != nil {
 		return err
 	}
 	var err error
 	a.Records, err = peer.Pack(own)
-	a.Header = m.node.header()
+	a.Header = m.node.Header()
 	return err
 }
 
 // Find returns the instances whose backend servers match one of the selectors.
 func (m *Methods) Find(q *peer.FindRequest, a *peer.FindReply) error {
 	var err error
-	a.Records, err = peer.Pack(m.node.findMatching(q.Selectors))
-	a.Header = m.node.header()
+	a.Records, err = peer.Pack(m.node.directory.FindMatching(q.Selectors))
+	a.Header = m.node.Header()
 	return err
 }
 
 // Converge counts the members of an interval that have a version in force.
 func (m *Methods) Converge(q *peer.ConvergeRequest, a *peer.ConvergeReply) error {
-	*a = m.node.countInterval(q.Version, q.Interval)
+	*a = m.node.counter.CountInterval(q.Version, q.Interval)
 	if q.Interval == distribution.Everyone {
-		a.Unsure += m.node.countRemoved(q.Header.From)
+		a.Unsure += m.node.counter.CountRemoved(q.Header.From)
 	}
-	a.Header = m.node.header()
+	a.Header = m.node.Header()
 	return nil
 }
 
@@ -125,6 +126,6 @@
 func (m *Methods) Timeline(q *peer.TimelineRequest, a *peer.TimelineReply) error {
 	m.node.Clock.Receive(q.Header.Stamp)
 	a.Events = m.node.Recorder.Events(q.Filter)
-	a.Header = m.node.header()
+	a.Header = m.node.Header()
 	return nil
 }
--- a/daemon/control/node.go
+++ b/daemon/control/node.go
@@ -2,49 +2,43 @@
 
 import (
 	"context"
-	"log/slog"
-	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"siskinspar.example/daemon/configuration"
+	"github.com/rotisserie/eris"
+
+	"siskinspar.example/daemon/commit"
+	"siskinspar.example/daemon/convergence"
+	"siskinspar.example/daemon/directory"
+	"siskinspar.example/daemon/link"
 	"siskinspar.example/daemon/peer"
-	"siskinspar.example/daemon/roster"
+	"siskinspar.example/daemon/spread"
+	"siskinspar.example/daemon/storage"
+	"siskinspar.example/daemon/work"
 	"siskinspar.example/declaration"
 	"siskinspar.example/distribution"
 	"siskinspar.example/membership"
 	"siskinspar.example/request/claim"
-	"siskinspar.example/timeline"
-	"siskinspar.example/versionlog/record"
+	"siskinspar.example/request/quarantine"
+	"siskinspar.example/versionlog"
 )
 
-// Node holds what the control loops of one daemon share; its exported fields are set before Run.
+// Node runs the control loops of one daemon; its exported fields are set before Start.
 type Node struct {
-	Roster        *roster.Roster
-	Configuration *configuration.Holder
-	Pool          *peer.Pool
-	Log           *record.Log
-	Clock         *timeline.Clock
-	Recorder      *timeline.Recorder
-	Logger        *slog.Logger
-	Claims        Claims
-	Notices       Notices
-	Seeds         []string
-	StoreTimeout  time.Duration
-	Membership    membership.Timing
-	Distribution  distribution.Timing
-
-	workers     *workers
-	committer   *committer
-	mu          sync.Mutex
-	follower    *distribution.Follower
-	forwarded   forwarding
-	images      imageCache
-	held        heldVersion
+	*link.Link
+	Storage      *storage.Storage
+	Claims       Claims
+	Notices      Notices
+	Seeds        []string
+	Membership   membership.Timing
+	Distribution distribution.Timing
+
+	spreader    *spread.Spreader
+	directory   *directory.Directory
+	counter     *convergence.Counter
+	committer   *commit.Committer
 	centreTurn  atomic.Uint64
 	isReady     atomic.Bool
-	isStoreUp   atomic.Bool
 	lastTick    atomic.Int64
 	isSuspended atomic.Bool
 	done        chan struct{}
@@ -56,16 +50,25 @@
 	State(ctx context.Context, t claim.Token) claim.State
 }
 
+// Notices takes in what other daemons tell of crashes.
+type Notices interface {
+	// Receive reports whether the notice was new.
+	Receive(n quarantine.Notice) bool
+}
+
 // workerCount is the number of workers that make calls to peers and the store.
 const workerCount = 32
 
 // Start starts the loops, which end with the context.
 func (n *Node) Start(ctx context.Context) {
 	n.done = make(chan struct{})
-	n.follower = distribution.NewFollower(n.Distribution, newRandom())
-	n.workers = newWorkers(workerCount)
-	n.committer = newCommitter(n)
-	n.isStoreUp.Store(true)
+	n.Workers = work.NewPool(workerCount)
+	n.spreader = &spread.Spreader{Link: n.Link, Storage: n.Storage, Timing: n.Distribution}
+	n.spreader.Start()
+	n.directory = &directory.Directory{Link: n.Link, Hearer: n.spreader}
+	n.counter = &convergence.Counter{Link: n.Link, Own: n}
+	n.committer = &commit.Committer{Link: n.Link, Storage: n.Storage, Distributor: n.spreader}
+	n.committer.Start(ctx)
 	n.lastTick.Store(time.Now().UnixNano())
 	go n.run(ctx)
 }
@@ -77,54 +80,21 @@
 func (n *Node) IsReady() bool { return n.isReady.Load() }
 
 // IsStoreUp reports whether the last call to the store got an answer.
-func (n *Node) IsStoreUp() bool { return n.isStoreUp.Load() }
+func (n *Node) IsStoreUp() bool { return n.Storage.IsUp() }
 
-func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+// Held returns the highest version that this daemon was asked to hold.
+func (n *Node) Held() declaration.Version { return n.spreader.Held() }
 
-func (n *Node) header() peer.Header {
-	return peer.Header{From: n.Roster.Self().ID, Stamp: n.Clock.Stamp(), Version: n.Configuration.Version()}
-}
+// Converge counts the daemons of all data centres that have a version in force.
+func (n *Node) Converge(v declaration.Version) peer.ConvergeReply { return n.counter.Count(v) }
 
-// hear takes note of a message's header and pulls when its sender holds a newer version.
-func (n *Node) hear(h peer.Header) {
-	n.Clock.Receive(h.Stamp)
-	n.mu.Lock()
-	n.follower.HandleInForce(n.Configuration.Version())
-	step := n.follower.HandleHeard(time.Now(), h.From, h.Version)
-	n.mu.Unlock()
-	n.perform(step)
-}
+// SpreadNotice passes a notice on to all daemons.
+func (n *Node) SpreadNotice(notice quarantine.Notice) { n.spreader.SpreadNotice(notice) }
 
-func (n *Node) perform(s distribution.Step) {
-	switch s.Kind() {
-	case distribution.StepPull:
-		n.workers.try(func() { n.pull(s.From()) })
-	case distribution.StepReadHead:
-		n.workers.try(n.readHead)
+// Submit commits a submission and returns its result.
+func (n *Node) Submit(ctx context.Context, s versionlog.Submission) versionlog.Result {
+	if !n.IsReady() {
+		return versionlog.NewRefused(eris.New("daemon is not ready"))
 	}
-}
-
-// noteStore records the moments at which the store goes down and comes back.
-func (n *Node) noteStore(err error) {
-	isUp := err == nil
-	if n.isStoreUp.Swap(isUp) == isUp {
-		return
-	}
-	if isUp {
-		n.Recorder.Record(timeline.Event{Kind: timeline.KindStoreBack})
-		n.Logger.Info("control: store is back")
-		return
-	}
-	n.Recorder.Record(timeline.Event{Kind: timeline.KindStoreDown, Detail: err.Error()})
-	n.Logger.Warn("control: store is down", "error", err)
-}
-
-func (n *Node) storeContext() (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.Background(), n.StoreTimeout)
-}
-
-// forwarding remembers the newest version that was passed on, and to which interval.
-type forwarding struct {
-	version  declaration.Version
-	interval distribution.Interval
+	return n.committer.Submit(ctx, s)
 }
--- /dev/null
+++ b/daemon/directory/doc.go
@@ -0,0 +1,3 @@
+// Package directory mends the directory of instances by comparison with
+// other daemons.
+package directory
--- /dev/null
+++ b/daemon/link/doc.go
@@ -0,0 +1,2 @@
+// Package link holds what every control loop needs to talk to the other daemons.
+package link
--- a/daemon/part/control/part.go
+++ b/daemon/part/control/part.go
@@ -8,7 +8,9 @@
 	"siskinspar.example/daemon/control"
 	"siskinspar.example/daemon/core"
 	"siskinspar.example/daemon/crash"
+	"siskinspar.example/daemon/link"
 	"siskinspar.example/daemon/settings"
+	"siskinspar.example/daemon/storage"
 	"siskinspar.example/distribution"
 	"siskinspar.example/membership"
 )
@@ -44,19 +46,15 @@
 	}
 	c.Guard = &crash.Guard{Instance: c.Settings.Instance.Name, Recorder: c.Recorder}
 	c.Node = &control.Node{
-		Claims:        c.Claimer,
-		Notices:       c.Guard,
-		Roster:        c.Roster,
-		Configuration: c.Configuration,
-		Pool:          c.Pool,
-		Log:           c.Log,
-		Clock:         c.Clock,
-		Recorder:      c.Recorder,
-		Logger:        c.Logger,
-		Seeds:         c.Settings.Peers.Seeds,
-		StoreTimeout:  c.Settings.Platform.Timeout,
-		Membership:    membership.Timing{Period: c.Settings.Control.ProbePeriod},
-		Distribution:  timing,
+		Claims:  c.Claimer,
+		Notices: c.Guard,
+		Link: &link.Link{
+			Roster: c.Roster, Configuration: c.Configuration, Pool: c.Pool, Clock: c.Clock, Recorder: c.Recorder, Logger: c.Logger,
+		},
+		Storage:      &storage.Storage{Log: c.Log, Timeout: c.Settings.Platform.Timeout, Recorder: c.Recorder, Logger: c.Logger},
+		Seeds:        c.Settings.Peers.Seeds,
+		Membership:   membership.Timing{Period: c.Settings.Control.ProbePeriod},
+		Distribution: timing,
 	}
 	c.Claimer.Holders = c.Node
 	c.Guard.Spreader = c.Node
--- /dev/null
+++ b/daemon/spread/doc.go
@@ -0,0 +1,2 @@
+// Package spread carries versions and notices between daemons.
+package spread
--- /dev/null
+++ b/daemon/work/doc.go
@@ -0,0 +1,2 @@
+// Package work runs jobs on a fixed pool of workers.
+package work
--- a/standin/load/generator.go
+++ b/standin/load/generator.go
@@ -15,6 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/sourcegraph/conc/pool"
 
+	"siskinspar.example/daemon/backoff"
 	"siskinspar.example/request/outcome"
 	"siskinspar.example/standin/backend"
 )
@@ -86,7 +87,7 @@
 	started := time.Now()
 	for i := range total {
 		due := started.Add(time.Duration(float64(i) / g.Rate * float64(time.Second)))
-		if !sleepUntil(ctx, due) {
+		if !backoff.Sleep(ctx, time.Until(due)) {
 			break
 		}
 		class := g.draw(random)
@@ -101,21 +102,6 @@
 // NotRunIDs returns the ids of the requests that were answered as not run, for comparison with the executions.
 func (g *Generator) NotRunIDs() []string { return g.notRun }
 
-func sleepUntil(ctx context.Context, due time.Time) bool {
-	wait := time.Until(due)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (g *Generator) draw(r *rand.Rand) Class {
 	total := 0.0
 	for _, c := range g.Classes {
