--- a/capacity/model.go
+++ b/capacity/model.go
@@ -58,8 +58,8 @@
 	call := c.slope("calls.processor")
 	processor := c.row("processor of calls, entry and owner together", "slope of calls.processor x 990,000 / 21,000 calls/s",
 		"net/http on both hops", call*perSecond, "s/s", 0)
-	p50 := c.row("added latency, p50", "latency.added.p50 at 100 calls/s", "two hops over kept connections", c.at("latency.added.p50", 100), "s", BoundLatency)
-	p99 := c.row("added latency, p99", "latency.added.p99 at 100 calls/s, above the 47 of the plan", "two hops over kept connections", c.at("latency.added.p99", 100), "s", BoundLatency)
+	p50 := c.row("added latency, p50", "highest latency.added.p50 at 100, 300 and 900 calls/s; the plan has 47", "two hops over kept connections", c.highest("latency.added.p50"), "s", BoundLatency)
+	p99 := c.row("added latency, p99", "highest latency.added.p99 at 100, 300 and 900 calls/s; the plan has 47", "two hops over kept connections", c.highest("latency.added.p99"), "s", BoundLatency)
 	first := c.row("first candidates of all routes of a joining daemon", "candidates.first.time(21,000) x 40 routes",
 		"built once a route, then changed by record", c.at("candidates.first.time", Daemons)*RoutesPerDaemon, "s", BoundConverge)
 	limits := Row{What: "daemon as owner of a limit", Formula: "no messages: shares follow from the directory", Mechanism: "limits divided over the daemons beside the backend servers", Verdict: NotMeasured}
--- a/capacity/row.go
+++ b/capacity/row.go
@@ -133,6 +133,21 @@
 	return series[len(series)-1].Value
 }
 
+// highest returns the highest value of a series, for figures that vary without a trend.
+func (c *calculator) highest(name string) float64 {
+	c.used = append(c.used, name)
+	series := c.figures.Series(name)
+	if len(series) == 0 {
+		c.verdict = NotMeasured
+		return 0
+	}
+	value := series[0].Value
+	for _, p := range series {
+		value = max(value, p.Value)
+	}
+	return value
+}
+
 // row closes a row: the value is compared with the bound.
 func (c *calculator) row(what, formula, mechanism string, value float64, unit string, bound float64) Row {
 	r := Row{What: what, Formula: formula, Mechanism: mechanism, Value: value, Unit: unit, Bound: bound, Figures: c.used, Verdict: c.verdict}
--- a/cmd/integration/configuration_test.go
+++ b/cmd/integration/configuration_test.go
@@ -203,6 +203,19 @@
 	assert.Assert(t, cmp.Contains(output, "self-refuted"))
 }
 
+func TestAWokenDaemonWithoutPeersAsksTheStore(t *testing.T) {
+	m := startGroup(t, 2, 1)
+	_, code := m.daemons[0].apply(m.declare(withTimeout(10)))
+	assert.Equal(t, code, 0)
+	woken, lost := m.daemons[0], m.daemons[1]
+	woken.signal(syscall.SIGSTOP)
+	lost.kill()
+	time.Sleep(2 * time.Second)
+	woken.signal(syscall.SIGCONT)
+	m.settle(0, woken)
+	assert.Assert(t, cmp.Contains(woken.output.String(), "calls are held"))
+}
+
 func submissionOf(t *testing.T, id, operator, name string, base declaration.Version, seconds int) versionlog.Submission {
 	t.Helper()
 	e, err := declaration.NewIntentEntry(declaration.Intent{
--- a/daemon/control/pause.go
+++ b/daemon/control/pause.go
@@ -15,9 +15,23 @@
 	if now.Sub(last) >= pausePeriods*n.Membership.Period {
 		n.suspend()
 	}
+	if n.isSuspended.Load() && len(n.Roster.Serving()) <= 1 {
+		n.Workers.Try(n.confirmByStore)
+	}
+}
+
+// confirmByStore ends the hold of a daemon whose other members were all removed, when the store has nothing newer.
+func (n *Node) confirmByStore() {
+	ctx, cancel := n.Storage.Context()
+	defer cancel()
+	head, err := n.Storage.Log.Head(ctx)
+	n.Storage.Note(err)
+	if err == nil {
+		n.noteContact(peer.Header{Version: head.Version})
+	}
 }
 
-// suspend keeps the daemon from serving until a peer has confirmed what is current.
+// suspend keeps the daemon from serving until a peer, or the store when no peer is left, has confirmed what is current.
 func (n *Node) suspend() {
 	if len(n.Roster.Serving()) > 1 {
 		n.isSuspended.Store(true)
@@ -25,7 +39,7 @@
 	}
 }
 
-// noteContact ends the hold when a peer answered that has nothing newer.
+// noteContact ends the hold when an answer holds nothing newer.
 func (n *Node) noteContact(h peer.Header) {
 	if n.isSuspended.Load() && h.Version <= n.Configuration.Version() {
 		n.isSuspended.Store(false)
--- a/daemon/entry/handler.go
+++ b/daemon/entry/handler.go
@@ -76,6 +76,9 @@
 	attempts conc.WaitGroup
 }
 
+// Wait waits for the attempts that lost a race; a broken invariant in one of them stops the process here.
+func (h *Handler) Wait() { h.attempts.Wait() }
+
 // call is one request on its way; it holds one snapshot from first byte to last.
 type call struct {
 	request *http.Request
--- a/daemon/part/callers/part.go
+++ b/daemon/part/callers/part.go
@@ -27,7 +27,10 @@
 )
 
 // Part serves the caller listener.
-type Part struct{ server *core.Server }
+type Part struct {
+	server *core.Server
+	done   chan struct{}
+}
 
 // Name implements daemon.Part.
 func (p *Part) Name() string { return "callers" }
@@ -61,7 +64,16 @@
 		Name: "callers", Address: c.Settings.Callers.Listen, Listener: c.CallerListener, Connections: c.Settings.Callers.Connections,
 		HeaderSize: c.Settings.Callers.HeaderSize, Handler: handler, Limit: c.Settings.Drain.Limit, Logger: c.Logger, IsKilled: &c.IsKilled,
 	}
-	return p.server.Start(ctx)
+	if err := p.server.Start(ctx); err != nil {
+		return err
+	}
+	p.done = make(chan struct{})
+	go func() {
+		<-p.server.Done()
+		handler.Wait()
+		close(p.done)
+	}()
+	return nil
 }
 
 // dial bounds the set-up of a connection.
@@ -86,4 +98,4 @@
 }
 
 // Done implements daemon.Part.
-func (p *Part) Done() <-chan struct{} { return p.server.Done() }
+func (p *Part) Done() <-chan struct{} { return p.done }
