feat: bound the joins served at once and show refusals on the time line

Cause: a daemon that many others join would encode and send its image to all of them at once, and the kind request-refused was never recorded. Limits had a test of their shares only.

Change: eight joins at once, others are told to go elsewhere or come later; the first refusal of each reason in a second becomes an event.

--- a/daemon/control/methods.go
+++ b/daemon/control/methods.go
@@ -13,10 +13,27 @@
 )
 
 // Methods are the remote methods that a daemon offers its peers.
-type Methods struct{ node *Node }
+type Methods struct {
+	node *Node
+	// joins bounds the joining daemons that are served at once.
+	joins chan struct{}
+}
+
+// maximumJoins is the number of joining daemons that are served at once; the others try elsewhere or later.
+const maximumJoins = 8
 
 // NewMethods returns the remote methods of a node.
-func NewMethods(n *Node) *Methods { return &Methods{node: n} }
+func NewMethods(n *Node) *Methods { return &Methods{node: n, joins: make(chan struct{}, maximumJoins)} }
+
+// admit takes a place among the joining daemons that are served, or refuses.
+func (m *Methods) admit() (func(), error) {
+	select {
+	case m.joins <- struct{}{}:
+		return func() { <-m.joins }, nil
+	default:
+		return nil, eris.New("busy with other joins, try elsewhere or later")
+	}
+}
 
 // Probe answers a probe with gossip.
 func (m *Methods) Probe(q *peer.ProbeRequest, a *peer.ProbeReply) error {
@@ -76,6 +93,11 @@
 		a.Changes = changes
 		return nil
 	}
+	leave, err := m.admit()
+	if err != nil {
+		return err
+	}
+	defer leave()
 	image, err := m.node.spreader.Image()
 	a.Image = image
 	return err
@@ -106,7 +128,11 @@
 
 // Find returns the instances whose backend servers match one of the selectors.
 func (m *Methods) Find(q *peer.FindRequest, a *peer.FindReply) error {
-	var err error
+	leave, err := m.admit()
+	if err != nil {
+		return err
+	}
+	defer leave()
 	a.Records, err = peer.Pack(m.node.directory.FindMatching(q.Selectors))
 	a.Header = m.node.Header()
 	return err
--- a/daemon/entry/handler.go
+++ b/daemon/entry/handler.go
@@ -26,6 +26,8 @@
 const (
 	// answerGrace is how long after the deadline the entry daemon still waits for the truthful refusal of the owner.
 	answerGrace = 100 * time.Millisecond
+	// refusalSpan is the time in which refusals of one reason make one event.
+	refusalSpan = time.Second
 	// maximumCrashes is the number of backend servers that one request may crash.
 	maximumCrashes = 2
 	// maximumAttempts bounds the owners that one request is offered to.
@@ -74,6 +76,7 @@
 	budget   retry.Budget
 	delays   map[string]*routing.Delay
 	attempts conc.WaitGroup
+	recorded map[outcome.Reason]time.Time
 }
 
 // Wait waits for the attempts that lost a race; a broken invariant in one of them stops the process here.
@@ -156,9 +159,27 @@
 
 func (h *Handler) refuse(w http.ResponseWriter, f *outcome.Failure) {
 	h.Meter.Count(f.Outcome(), f.Reason())
+	h.record(f)
 	f.WriteTo(w)
 }
 
+// record puts the first refusal of each reason in a second on the time line, so that an overload does not fill it.
+func (h *Handler) record(f *outcome.Failure) {
+	now := time.Now()
+	h.mu.Lock()
+	isRecent := now.Sub(h.recorded[f.Reason()]) < refusalSpan
+	if !isRecent {
+		if h.recorded == nil {
+			h.recorded = map[outcome.Reason]time.Time{}
+		}
+		h.recorded[f.Reason()] = now
+	}
+	h.mu.Unlock()
+	if !isRecent {
+		h.Recorder.Record(timeline.Event{Kind: timeline.KindRequestRefused, Subject: string(f.Outcome()), Detail: string(f.Reason())})
+	}
+}
+
 // attempt offers the request to owners until one answers, or until another attempt would not be safe.
 func (h *Handler) attempt(ctx context.Context, c *call, n *snapshot.Snapshot) (*answer, *outcome.Failure) {
 	failure := outcome.NewRefusal(outcome.ReasonNoBackend)
