feat: offer repeatable requests that were shed to another backend server

Cause: a backend server's own 503 was passed on although another server had room; and the retry budget began empty, since its zero value was used in place of NewBudget, so the first nine requests of a daemon could not be retried.

Change: a 503 to a repeatable request spends from the budget for another backend server; when none is left it is passed on as ran. Unrepeatable requests are never offered again. The list commands share one action, the capacity rows one look-up.

Seen: with one of two servers shedding a read gets 200 (503 before, in the first run of the test), with both 503 and ran; the shed unrepeatable request has no execution at the other server.

--- a/capacity/row.go
+++ b/capacity/row.go
@@ -83,12 +83,20 @@
 	verdict Verdict
 }
 
-// at returns the value of a series at a size: measured there, or on its line when the line is straight.
-func (c *calculator) at(name string, size float64) float64 {
+// series returns the points of a figure and notes that the row uses it.
+func (c *calculator) series(name string) []Figure {
 	c.used = append(c.used, name)
 	series := c.figures.Series(name)
 	if len(series) == 0 {
 		c.verdict = NotMeasured
+	}
+	return series
+}
+
+// at returns the value of a series at a size: measured there, or on its line when the line is straight.
+func (c *calculator) at(name string, size float64) float64 {
+	series := c.series(name)
+	if len(series) == 0 {
 		return 0
 	}
 	for _, p := range series {
@@ -124,10 +132,8 @@
 
 // largest returns the value at the largest size, for costs that level off.
 func (c *calculator) largest(name string) float64 {
-	c.used = append(c.used, name)
-	series := c.figures.Series(name)
+	series := c.series(name)
 	if len(series) == 0 {
-		c.verdict = NotMeasured
 		return 0
 	}
 	return series[len(series)-1].Value
@@ -135,14 +141,8 @@
 
 // highest returns the highest value of a series, for figures that vary without a trend.
 func (c *calculator) highest(name string) float64 {
-	c.used = append(c.used, name)
-	series := c.figures.Series(name)
-	if len(series) == 0 {
-		c.verdict = NotMeasured
-		return 0
-	}
-	value := series[0].Value
-	for _, p := range series {
+	value := 0.0
+	for _, p := range c.series(name) {
 		value = max(value, p.Value)
 	}
 	return value
--- a/cmd/command/quarantine.go
+++ b/cmd/command/quarantine.go
@@ -27,17 +27,9 @@
 		Name:  "list",
 		Usage: "list the requests",
 		Flags: option.OperatorFlags(),
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := option.NewClient(c)
-			if err != nil {
-				return err
-			}
-			entries, err := client.Quarantine(ctx)
-			if err != nil {
-				return err
-			}
-			return option.Show(c, entries, func(w io.Writer) { writeQuarantine(w, entries) })
-		},
+		Action: option.List(func(ctx context.Context, c *operatorapi.Client) ([]quarantine.Entry, error) {
+			return c.Quarantine(ctx)
+		}, writeQuarantine),
 	}
 }
 
--- a/cmd/command/status.go
+++ b/cmd/command/status.go
@@ -17,17 +17,9 @@
 		Name:  "status",
 		Usage: "show a daemon, its members and its backend servers",
 		Flags: option.OperatorFlags(),
-		Action: func(ctx context.Context, c *cli.Command) error {
-			client, err := option.NewClient(c)
-			if err != nil {
-				return err
-			}
-			s, err := client.Status(ctx)
-			if err != nil {
-				return err
-			}
-			return option.Show(c, s, func(w io.Writer) { writeStatus(w, s) })
-		},
+		Action: option.List(func(ctx context.Context, c *operatorapi.Client) (operatorapi.Status, error) {
+			return c.Status(ctx)
+		}, writeStatus),
 	}
 }
 
--- a/cmd/option/option.go
+++ b/cmd/option/option.go
@@ -1,6 +1,7 @@
 package option
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"log/slog"
@@ -51,6 +52,21 @@
 	return &operatorapi.Client{Address: c.String("operator"), Token: token, HTTP: &http.Client{Timeout: RequestTimeout}}, nil
 }
 
+// List returns the action of a command that asks a daemon for something and shows it.
+func List[T any](ask func(context.Context, *operatorapi.Client) (T, error), text func(io.Writer, T)) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		client, err := NewClient(c)
+		if err != nil {
+			return err
+		}
+		value, err := ask(ctx, client)
+		if err != nil {
+			return err
+		}
+		return Show(c, value, func(w io.Writer) { text(w, value) })
+	}
+}
+
 // Show writes a value as indented JSON, or with the given function as text.
 func Show(c *cli.Command, value any, text func(w io.Writer)) error {
 	if c.String("output") != "json" {
--- a/daemon/entry/handler.go
+++ b/daemon/entry/handler.go
@@ -71,9 +71,9 @@
 	Recorder      *timeline.Recorder
 	Meter         Meter
 	Router        *routing.Router
+	Budget        *retry.Budget
 
 	mu       sync.Mutex
-	budget   retry.Budget
 	delays   map[string]*routing.Delay
 	attempts conc.WaitGroup
 	recorded map[outcome.Reason]time.Time
@@ -183,24 +183,40 @@
 // attempt offers the request to owners until one answers, or until another attempt would not be safe.
 func (h *Handler) attempt(ctx context.Context, c *call, n *snapshot.Snapshot) (*answer, *outcome.Failure) {
 	failure := outcome.NewRefusal(outcome.ReasonNoBackend)
+	candidate, ok := h.pick(c, n)
 	for range maximumAttempts {
-		candidate, ok := h.pick(c, n)
 		if !ok || !time.Now().Before(c.expires) {
 			return nil, failure
 		}
 		c.tried = append(c.tried, candidate.Endpoint())
 		a, refused := h.offer(ctx, c, n, candidate)
 		if refused == nil {
-			return a, nil
+			if candidate, ok = h.afterShed(c, n, a); !ok {
+				return a, nil
+			}
+			a.discard()
+			continue
 		}
 		failure = refused
 		if !h.isRetryable(c, failure) {
 			return nil, failure
 		}
+		candidate, ok = h.pick(c, n)
 	}
 	return nil, failure
 }
 
+// afterShed picks another backend server after one answered that it sheds load, for requests that may be repeated
+// and within the budget; without another one the answer stands.
+func (h *Handler) afterShed(c *call, n *snapshot.Snapshot, a *answer) (routing.Candidate, bool) {
+	mayRepeat := a.StatusCode == http.StatusServiceUnavailable && isRepeatable(c) && isOutermost(c) && c.body.IsReplayable()
+	if !mayRepeat || len(c.tried) >= maximumAttempts {
+		return routing.Candidate{}, false
+	}
+	next, ok := h.pick(c, n)
+	return next, ok && h.spend()
+}
+
 func (h *Handler) pick(c *call, n *snapshot.Snapshot) (routing.Candidate, bool) {
 	candidates := h.Directory.Candidates(n, c.route)
 	h.mu.Lock()
@@ -249,13 +265,13 @@
 func (h *Handler) earn() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.budget.Earn()
+	h.Budget.Earn()
 }
 
 func (h *Handler) spend() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.budget.Spend()
+	return h.Budget.Spend()
 }
 
 func newOwnerCall(h *Handler, c *call, e routing.Endpoint) owner.Call {
--- a/daemon/entry/send.go
+++ b/daemon/entry/send.go
@@ -23,6 +23,12 @@
 	done func(routing.Result)
 }
 
+// discard ends an answer that is not passed on, as a refusal of its backend server.
+func (a *answer) discard() {
+	_ = a.Body.Close()
+	a.done(routing.ResultRefused)
+}
+
 // send hands the request to the daemon beside one backend server.
 func (h *Handler) send(ctx context.Context, c *call, to routing.Candidate) (*answer, *outcome.Failure) {
 	var isConnected atomic.Bool
--- a/daemon/part/callers/part.go
+++ b/daemon/part/callers/part.go
@@ -12,6 +12,7 @@
 	"siskinspar.example/daemon/peer"
 	"siskinspar.example/daemon/settings"
 	"siskinspar.example/membership"
+	"siskinspar.example/request/retry"
 	"siskinspar.example/request/routing"
 )
 
@@ -58,6 +59,7 @@
 		Transport:     newTransport(c),
 		Recorder:      c.Recorder,
 		Meter:         core.Meter{Registry: c.Registry, Prefix: "entry"},
+		Budget:        retry.NewBudget(),
 		Router:        routing.NewRouter(d, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	p.server = &core.Server{
