test: measure the request path at the sizes of both deployments

Cause: the issue asks for both deployments; slowed servers were measured in Kingston only, crest and stragglers in Kathmandu only.

Change: each benchmark runs for both users, Kingston's crest on the branch ledger with price lookups as the lowest class, its stragglers on one route.

--- a/standin/bench/bench_test.go
+++ b/standin/bench/bench_test.go
@@ -103,11 +103,8 @@
 	return g.Run(context.Background())
 }
 
-// The timeouts that the intents declare; an answer within them counts as served.
-const (
-	statusTimeout  = time.Second
-	batteryTimeout = 3 * time.Second
-)
+// inTime is the time within which an answer counts as served, where a measure names no other.
+const inTime = time.Second
 
 // served returns the number of requests that were answered in time.
 func served(t *load.Tally, limit time.Duration) float64 {
@@ -120,7 +117,7 @@
 	return float64(total)
 }
 
-func report(b *testing.B, prefix string, t *load.Tally) { reportWithin(b, prefix, t, statusTimeout) }
+func report(b *testing.B, prefix string, t *load.Tally) { reportWithin(b, prefix, t, inTime) }
 
 func reportWithin(b *testing.B, prefix string, t *load.Tally, limit time.Duration) {
 	b.Helper()
@@ -177,64 +174,105 @@
 	return total
 }
 
-// BenchmarkSlowedServers has 2 of 10 servers of the member desk slowed ten times while their reports say idle.
-func BenchmarkSlowedServers(b *testing.B) {
-	m := deploy(b, mesh.Kingston, "kingston")
-	s := scenario{
-		classes: []load.Class{{Name: "status", Method: http.MethodGet, Path: "/loans/1?work=10ms", Weight: 1}},
-		rate:    400, duration: 10 * time.Second, timeout: 5 * time.Second,
+// user is one of the two deployments with what its measures are taken on.
+type user struct {
+	site       string
+	deployment mesh.Deployment
+	// status is the path of a read that the busiest pool serves.
+	status, pool string
+	servers      int
+	// The crest has two classes on one pool.
+	crestPool           string
+	crestServers        int
+	crestHigh, crestLow string
+	crestRate           float64
+	highLimit, lowLimit time.Duration
+	short, long         string
+	// highWeight and lowWeight divide the crest between the classes.
+	highWeight, lowWeight float64
+}
+
+var users = []user{
+	{
+		site: "kingston", deployment: mesh.Kingston, status: "/loans/1", pool: "member-desk", servers: 10,
+		crestPool: "branch-ledger", crestServers: 3, crestHigh: "/ledgers/7", crestLow: "/prices/7", crestRate: 900,
+		highLimit: time.Second, lowLimit: time.Second, short: "/loans/1", long: "/loans/2", highWeight: 20, lowWeight: 80,
+	},
+	{
+		site: "kathmandu", deployment: mesh.Kathmandu, status: "/status/7", pool: "driver-desk", servers: 7,
+		crestPool: "driver-desk", crestServers: 7, crestHigh: "/status/7", crestLow: "/battery/7", crestRate: 1260,
+		highLimit: time.Second, lowLimit: 3 * time.Second, short: "/status/7", long: "/battery/7", highWeight: 20, lowWeight: 80,
+	},
+}
+
+func forUsers(b *testing.B, measure func(b *testing.B, u user, m *mesh.Mesh)) {
+	for _, u := range users {
+		b.Run(u.site, func(b *testing.B) { measure(b, u, deploy(b, u.deployment, u.site)) })
 	}
-	desks := servers(m, "member-desk", 10)
-	baseline := &roundRobin{servers: addresses(desks), inner: newTransport()}
-	s.run(callers(m, 4), newTransport())
-	report(b, "healthy", s.run(callers(m, 4), newTransport())["status"])
-	queueing(desks, 1)
-	report(b, "rr-healthy", s.run([]string{"any"}, baseline)["status"])
-	slow(desks, 1)
-	slow(desks[:2], 10)
-	before := hedges(m)
-	t := s.run(callers(m, 4), newTransport())["status"]
-	report(b, "slowed", t)
-	b.ReportMetric(100*float64(hedges(m)-before)/float64(t.Sent), "hedged-%")
-	queueing(desks, 10)
-	report(b, "rr-slowed", s.run([]string{"any"}, baseline)["status"])
-}
-
-// BenchmarkCrest offers three times the capacity of the driver desk: 7 servers of 6 slots and 100 ms a request
-// serve 420 requests a second; the highest class alone fits.
+}
+
+// BenchmarkSlowedServers has two servers of the busiest pool slowed ten times while their reports say idle.
+func BenchmarkSlowedServers(b *testing.B) {
+	forUsers(b, func(b *testing.B, u user, m *mesh.Mesh) {
+		s := scenario{
+			classes: []load.Class{{Name: "status", Method: http.MethodGet, Path: u.status + "?work=10ms", Weight: 1}},
+			rate:    400, duration: 10 * time.Second, timeout: 5 * time.Second,
+		}
+		desks := servers(m, u.pool, u.servers)
+		baseline := &roundRobin{servers: addresses(desks), inner: newTransport()}
+		s.run(callers(m, 4), newTransport())
+		report(b, "healthy", s.run(callers(m, 4), newTransport())["status"])
+		queueing(desks, 1)
+		report(b, "rr-healthy", s.run([]string{"any"}, baseline)["status"])
+		slow(desks, 1)
+		slow(desks[:2], 10)
+		before := hedges(m)
+		t := s.run(callers(m, 4), newTransport())["status"]
+		report(b, "slowed", t)
+		b.ReportMetric(100*float64(hedges(m)-before)/float64(t.Sent), "hedged-%")
+		queueing(desks, 10)
+		report(b, "rr-slowed", s.run([]string{"any"}, baseline)["status"])
+	})
+}
+
+// BenchmarkCrest offers three times the capacity of a pool at 100 ms a request; the highest class alone fits.
 func BenchmarkCrest(b *testing.B) {
-	m := deploy(b, mesh.Kathmandu, "kathmandu")
-	s := scenario{
-		classes: []load.Class{
-			{Name: "high", Method: http.MethodGet, Path: "/status/7?work=100ms", Weight: 20},
-			{Name: "normal", Method: http.MethodGet, Path: "/battery/7?work=100ms", Weight: 80},
-		},
-		rate: 1260, duration: 5 * time.Second, timeout: 10 * time.Second,
-	}
-	desks := servers(m, "driver-desk", 7)
-	tallies := s.run(callers(m, 11), newTransport())
-	report(b, "high", tallies["high"])
-	reportWithin(b, "normal", tallies["normal"], batteryTimeout)
-	b.ReportMetric((served(tallies["high"], statusTimeout)+served(tallies["normal"], batteryTimeout))/s.duration.Seconds(), "goodput/s")
-	time.Sleep(3 * time.Second)
-	queueing(desks, 1)
-	base := s.run([]string{"any"}, &roundRobin{servers: addresses(desks), inner: newTransport()})
-	report(b, "rr-high", base["high"])
-	reportWithin(b, "rr-normal", base["normal"], batteryTimeout)
-	b.ReportMetric((served(base["high"], statusTimeout)+served(base["normal"], batteryTimeout))/s.duration.Seconds(), "rr-goodput/s")
-}
-
-// BenchmarkStragglers has 1 request in 50 run 40 times longer than the others.
+	forUsers(b, func(b *testing.B, u user, m *mesh.Mesh) {
+		s := scenario{
+			classes: []load.Class{
+				{Name: "high", Method: http.MethodGet, Path: u.crestHigh + "?work=100ms", Weight: u.highWeight},
+				{Name: "low", Method: http.MethodGet, Path: u.crestLow + "?work=100ms", Weight: u.lowWeight},
+			},
+			rate: u.crestRate, duration: 5 * time.Second, timeout: 10 * time.Second,
+		}
+		desks := servers(m, u.crestPool, u.crestServers)
+		reportCrest(b, "", u, s, s.run(callers(m, 11), newTransport()))
+		time.Sleep(3 * time.Second)
+		queueing(desks, 1)
+		reportCrest(b, "rr-", u, s, s.run([]string{"any"}, &roundRobin{servers: addresses(desks), inner: newTransport()}))
+	})
+}
+
+func reportCrest(b *testing.B, prefix string, u user, s scenario, tallies map[string]*load.Tally) {
+	b.Helper()
+	reportWithin(b, prefix+"high", tallies["high"], u.highLimit)
+	reportWithin(b, prefix+"low", tallies["low"], u.lowLimit)
+	total := served(tallies["high"], u.highLimit) + served(tallies["low"], u.lowLimit)
+	b.ReportMetric(total/s.duration.Seconds(), prefix+"goodput/s")
+}
+
+// BenchmarkStragglers has 1 request in 50 run 40 times longer than the others; in Kingston on the same route.
 func BenchmarkStragglers(b *testing.B) {
-	m := deploy(b, mesh.Kathmandu, "kathmandu")
-	short := load.Class{Name: "short", Method: http.MethodGet, Path: "/status/7?work=10ms", Weight: 49}
-	long := load.Class{Name: "long", Method: http.MethodGet, Path: "/battery/7?work=400ms", Weight: 1}
-	s := scenario{classes: []load.Class{short}, rate: 1000, duration: 10 * time.Second, timeout: 5 * time.Second}
-	s.run(callers(m, 4), newTransport())
-	report(b, "alone", s.run(callers(m, 4), newTransport())["short"])
-	s.classes = append(s.classes, long)
-	report(b, "mixed", s.run(callers(m, 4), newTransport())["short"])
-	desks := servers(m, "driver-desk", 7)
-	queueing(desks, 1)
-	report(b, "rr-mixed", s.run([]string{"any"}, &roundRobin{servers: addresses(desks), inner: newTransport()})["short"])
+	forUsers(b, func(b *testing.B, u user, m *mesh.Mesh) {
+		short := load.Class{Name: "short", Method: http.MethodGet, Path: u.short + "?work=10ms", Weight: 49}
+		long := load.Class{Name: "long", Method: http.MethodGet, Path: u.long + "?work=400ms", Weight: 1}
+		s := scenario{classes: []load.Class{short}, rate: 1000, duration: 10 * time.Second, timeout: 5 * time.Second}
+		s.run(callers(m, 4), newTransport())
+		report(b, "alone", s.run(callers(m, 4), newTransport())["short"])
+		s.classes = append(s.classes, long)
+		report(b, "mixed", s.run(callers(m, 4), newTransport())["short"])
+		desks := servers(m, u.pool, u.servers)
+		queueing(desks, 1)
+		report(b, "rr-mixed", s.run([]string{"any"}, &roundRobin{servers: addresses(desks), inner: newTransport()})["short"])
+	})
 }
