--- a/daemon/control/loop.go
+++ b/daemon/control/loop.go
@@ -19,7 +19,7 @@
 	// centreProbes is the number of random members of a data centre that are tried besides its relays.
 	centreProbes = 2
 	// distributionStep is the time between two looks at the follower.
-	distributionStep = 50 * time.Millisecond
+	distributionStep = 200 * time.Millisecond
 	// seedPeriod is the time between two renewals of the seed row by a relay.
 	seedPeriod = 30 * time.Second
 )
--- a/daemon/part/backendservers/part.go
+++ b/daemon/part/backendservers/part.go
@@ -15,7 +15,7 @@
 
 const (
 	// tick is the time between two looks at expired announcements and waiting requests.
-	tick = 20 * time.Millisecond
+	tick = 200 * time.Millisecond
 	// probePeriod is the time between two health probes of a backend server.
 	probePeriod = time.Second
 	// probeTimeout bounds one health probe.
