--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	$(BIN)/siskinspar demo
 
 test:
-	go test $(MODULES)
+	go test -count=1 $(MODULES)
 
 tools:
 	cd tools && GOWORK=off go build -o $(BIN)/ honnef.co/go/tools/cmd/staticcheck github.com/mgechev/revive
