fix: forget endpoints that are gone, and drop what nothing reads

Cause: read as a newcomer, the router's Expire and Latency had no caller, so an entry daemon kept its observations of every endpoint that ever was; a header named the entry daemon and nothing read it; contains stood in for the standard library's.

Change: every 1,024 calls the router forgets endpoints without calls for ten minutes; Latency, the entry header and contains are gone.

Seen: a new test keeps 50 endpoints where 1 is due when the look is put off, and 1 with it. Left as they are: the pairs of list commands (flags and titles of their own around one shared action) and the lists of typed constants.

--- a/daemon/entry/handler.go
+++ b/daemon/entry/handler.go
@@ -14,7 +14,6 @@
 	"siskinspar.example/daemon/peer"
 	"siskinspar.example/declaration"
 	"siskinspar.example/declaration/snapshot"
-	"siskinspar.example/membership"
 	"siskinspar.example/request/forward"
 	"siskinspar.example/request/outcome"
 	"siskinspar.example/request/quarantine"
@@ -62,7 +61,6 @@
 
 // Handler serves the caller listener; its exported fields are set before use.
 type Handler struct {
-	Self          membership.ID
 	Configuration Configuration
 	Liveness      Liveness
 	Directory     Directory
@@ -274,12 +272,11 @@
 	return h.Budget.Spend()
 }
 
-func newOwnerCall(h *Handler, c *call, e routing.Endpoint) owner.Call {
+func newOwnerCall(c *call, e routing.Endpoint) owner.Call {
 	i := c.route.Intent()
 	return owner.Call{
 		Intent:         i.Name,
 		Backend:        e.Backend,
-		Entry:          string(h.Self),
 		Priority:       i.Priority,
 		IsProtected:    i.ProtectedShare > 0,
 		IsUnrepeatable: i.Unrepeatable,
--- a/daemon/entry/send.go
+++ b/daemon/entry/send.go
@@ -92,7 +92,7 @@
 	forward.CopyHeader(out.Header, c.request.Header)
 	out.Host = c.request.Host
 	out.Trailer = c.request.Trailer
-	newOwnerCall(h, c, to.Endpoint()).Write(out.Header)
+	newOwnerCall(c, to.Endpoint()).Write(out.Header)
 	h.Identity.Sign(out.Header)
 	c.body.Attach(out)
 	return out, nil
--- a/daemon/owner/call.go
+++ b/daemon/owner/call.go
@@ -22,7 +22,6 @@
 type Call struct {
 	Intent         string
 	Backend        string
-	Entry          string
 	Priority       declaration.Priority
 	IsProtected    bool
 	IsUnrepeatable bool
@@ -34,7 +33,6 @@
 func (c Call) Write(h http.Header) {
 	h.Set(outcome.HeaderIntent, c.Intent)
 	h.Set(outcome.HeaderBackend, c.Backend)
-	h.Set(outcome.HeaderEntry, c.Entry)
 	h.Set(headerPriority, string(c.Priority))
 	h.Set(headerProtected, strconv.FormatBool(c.IsProtected))
 	h.Set(headerUnrepeatable, strconv.FormatBool(c.IsUnrepeatable))
@@ -49,7 +47,6 @@
 	return Call{
 		Intent:         h.Get(outcome.HeaderIntent),
 		Backend:        h.Get(outcome.HeaderBackend),
-		Entry:          h.Get(outcome.HeaderEntry),
 		Priority:       declaration.Priority(h.Get(headerPriority)),
 		IsProtected:    isProtected,
 		IsUnrepeatable: isUnrepeatable || err != nil,
--- a/daemon/part/callers/part.go
+++ b/daemon/part/callers/part.go
@@ -51,7 +51,6 @@
 func (p *Part) Run(ctx context.Context, c *core.Core) error {
 	d := membership.DataCentre(c.Settings.Instance.DataCentre)
 	handler := &entry.Handler{
-		Self:          membership.ID(c.Settings.Instance.Name),
 		Configuration: c.Configuration,
 		Liveness:      c.Node,
 		Directory:     c.Roster,
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -51,8 +51,6 @@
 	HeaderIntent = "Siskinspar-Intent"
 	// HeaderBackend holds the name of the backend server that was chosen, between daemons.
 	HeaderBackend = "Siskinspar-Backend"
-	// HeaderEntry holds the instance that took the call, between daemons.
-	HeaderEntry = "Siskinspar-Entry"
 	// HeaderFingerprint identifies the content of a request, between daemons.
 	HeaderFingerprint = "Siskinspar-Fingerprint"
 	// HeaderLoad holds the requests that run and wait at a backend server for each of its slots, between daemons.
--- a/request/routing/router.go
+++ b/request/routing/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"siskinspar.example/membership"
@@ -32,6 +33,8 @@
 	retestPeriod = 5 * time.Second
 	// loadLifetime is how long the load that an owner stated counts.
 	loadLifetime = 250 * time.Millisecond
+	// expiryCalls is the number of calls from one look for unused observations to the next.
+	expiryCalls = 1024
 	// observationLifetime is how long an unused observation is kept.
 	observationLifetime = 10 * time.Minute
 )
@@ -98,7 +101,7 @@
 	var usable, ejected []Candidate
 	for _, c := range candidates {
 		switch {
-		case contains(tried, c.endpoint):
+		case slices.Contains(tried, c.endpoint):
 		case r.isEjected(now, c.endpoint):
 			ejected = append(ejected, c)
 		default:
@@ -137,15 +140,6 @@
 	return near, far
 }
 
-func contains(list []Endpoint, e Endpoint) bool {
-	for _, o := range list {
-		if o == e {
-			return true
-		}
-	}
-	return false
-}
-
 func (r *Router) isEjected(now time.Time, e Endpoint) bool {
 	o, ok := r.observations[e]
 	return ok && o.isEjected(now)
@@ -195,6 +189,9 @@
 	r.nextCall++
 	o.outstanding[r.nextCall] = outstandingCall{started: now}
 	o.seen = now
+	if r.nextCall%expiryCalls == 0 {
+		r.expire(now)
+	}
 	return Call{endpoint: e, number: r.nextCall}
 }
 
@@ -272,20 +269,14 @@
 	return true
 }
 
-// Latency returns the smoothed latency of an endpoint and whether it has been observed.
-func (r *Router) Latency(e Endpoint) (time.Duration, bool) {
-	o, ok := r.observations[e]
-	if !ok || o.samples == 0 {
-		return 0, false
-	}
-	return o.latency, true
-}
-
-// Expire forgets endpoints without calls for ten minutes.
-func (r *Router) Expire(now time.Time) {
+// expire forgets endpoints without calls for ten minutes.
+func (r *Router) expire(now time.Time) {
 	for e, o := range r.observations {
 		if len(o.outstanding) == 0 && now.Sub(o.seen) > observationLifetime {
 			delete(r.observations, e)
 		}
 	}
 }
+
+// Len returns the number of endpoints that are remembered.
+func (r *Router) Len() int { return len(r.observations) }
--- a/request/routing/router_test.go
+++ b/request/routing/router_test.go
@@ -138,6 +138,17 @@
 	assert.Equal(t, share(r, later, list, list[0].Endpoint()), 0.0, "one call at a time on probation")
 }
 
+func TestEndpointsThatAreGoneAreForgotten(t *testing.T) {
+	r, list := newRouter(), candidates(50, 0)
+	now := warm(r, list, func(int) time.Duration { return time.Millisecond })
+	assert.Equal(t, r.Len(), 50)
+	now = now.Add(time.Hour)
+	for range 2000 {
+		now = call(r, now, list[0].Endpoint(), time.Millisecond)
+	}
+	assert.Equal(t, r.Len(), 1)
+}
+
 func TestNoCandidateIsOfferedTwice(t *testing.T) {
 	r, list := newRouter(), candidates(2, 1)
 	var tried []routing.Endpoint
