--- a/cmd/command/root.go
+++ b/cmd/command/root.go
@@ -37,6 +37,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			newDaemon(),
+			newSidecar(),
 			trial.NewStandin(),
 			newValidate(),
 			newPlan(),
--- /dev/null
+++ b/sidecar/calls.go
@@ -0,0 +1,65 @@
+package sidecar
+
+import (
+	"time"
+
+	"siskinspar.example/sidecar/message"
+)
+
+// service has the calls that other daemons make over net/rpc.
+type service struct{ sidecar *Sidecar }
+
+// Probe exchanges what two daemons say of themselves.
+func (v *service) Probe(p *message.Probe, reply *message.Probe) error {
+	v.sidecar.Hear(*p)
+	*reply = v.sidecar.Probe()
+	return nil
+}
+
+// Configuration returns the configuration in force.
+func (v *service) Configuration(_ *message.Empty, reply *message.Document) error {
+	*reply = v.sidecar.configuration.Document()
+	return nil
+}
+
+// Members returns the addresses of all known daemons.
+func (v *service) Members(_ *message.Empty, reply *[]string) error {
+	*reply = append(v.sidecar.members.Addresses(), v.sidecar.Settings.Daemons)
+	return nil
+}
+
+// Reserve waits for a slot of the backend server.
+func (v *service) Reserve(j *message.Job, reply *message.Grant) error {
+	*reply = v.sidecar.owner.Reserve(*j)
+	return nil
+}
+
+// Call runs a request at the backend server.
+func (v *service) Call(c *message.Call, reply *message.Reply) error {
+	*reply = v.sidecar.owner.Call(*c)
+	return nil
+}
+
+// Withdraw takes back a reservation or gives up a call.
+func (v *service) Withdraw(w *message.Withdrawal, _ *message.Empty) error {
+	v.sidecar.owner.Withdraw(*w)
+	return nil
+}
+
+// Probe implements discovery.Self.
+func (s *Sidecar) Probe() message.Probe {
+	r := s.record()
+	return message.Probe{Record: r, Version: s.configuration.Version(), Known: len(s.members.Addresses()), Crashes: s.quarantine.Recent(time.Now())}
+}
+
+// Hear implements discovery.Self.
+func (s *Sidecar) Hear(p message.Probe) {
+	if p.Record.Address == s.Settings.Daemons {
+		return
+	}
+	now := time.Now()
+	if s.members.Hear(now, p.Record) {
+		s.Logger.Info("daemon: backend server of another daemon", "daemon", p.Record.Address, "server", p.Record.Server.ID, "state", p.Record.Server.State.String(), "stopping", p.Record.IsStopping)
+	}
+	s.quarantine.Merge(now, p.Crashes)
+}
--- /dev/null
+++ b/sidecar/directory.go
@@ -0,0 +1,122 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"siskinspar.example/sidecar/member"
+	"siskinspar.example/sidecar/message"
+	"siskinspar.example/sidecar/owner"
+	"siskinspar.example/sidecar/peer"
+	"siskinspar.example/sidecar/route"
+)
+
+// directory joins the backend servers beside other daemons and the own one.
+type directory struct {
+	table      *member.Table
+	owner      *owner.Owner
+	address    string
+	dataCentre string
+}
+
+// Candidates implements entry.Directory.
+func (d *directory) Candidates(now time.Time, service string) []member.Candidate {
+	found := d.table.Candidates(now, service)
+	s, load := d.owner.Server()
+	if s.State == member.Ready && s.Service == service {
+		found = append(found, member.Candidate{Address: d.address, DataCentre: d.dataCentre, Server: s, Load: load})
+	}
+	return found
+}
+
+// NoteLoad implements entry.Directory.
+func (d *directory) NoteLoad(now time.Time, address string, l member.Load) {
+	d.table.NoteLoad(now, address, l)
+}
+
+// NoteSent implements entry.Directory.
+func (d *directory) NoteSent(address string) { d.table.NoteSent(address) }
+
+// owners reaches the own backend server directly and the others over their daemons.
+type owners struct {
+	address string
+	local   *owner.Owner
+	pool    *peer.Pool
+}
+
+// Call implements entry.Owners.
+func (o *owners) Call(ctx context.Context, address string, c *message.Call) (message.Reply, bool, error) {
+	if address == o.address {
+		result := make(chan message.Reply, 1)
+		go func() { result <- o.local.Call(*c) }()
+		select {
+		case r := <-result:
+			return r, true, nil
+		case <-ctx.Done():
+			return message.Reply{}, true, ctx.Err()
+		}
+	}
+	lane := peer.LaneControl
+	if c.Job.Kind == route.Download {
+		lane = peer.LaneBulk
+	}
+	reply := new(message.Reply)
+	err := o.pool.Link(address, lane).Call(ctx, peer.ServiceName+".Call", c, reply)
+	if err != nil {
+		return message.Reply{}, !errors.Is(err, peer.ErrNotSent), err
+	}
+	return *reply, true, nil
+}
+
+// Reserve implements entry.Owners.
+func (o *owners) Reserve(ctx context.Context, address string, j message.Job) (message.Grant, error) {
+	if address == o.address {
+		return o.local.Reserve(j), nil
+	}
+	reply := new(message.Grant)
+	if err := o.pool.Link(address, peer.LaneControl).Call(ctx, peer.ServiceName+".Reserve", &j, reply); err != nil {
+		return message.Grant{}, err
+	}
+	return *reply, nil
+}
+
+// withdrawTimeout bounds the attempt to take a reservation back.
+const withdrawTimeout = time.Second
+
+// Withdraw implements entry.Owners.
+func (o *owners) Withdraw(address string, w message.Withdrawal) {
+	if address == o.address {
+		o.local.Withdraw(w)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+		defer cancel()
+		// A reservation that can't be taken back lapses at its owner.
+		_ = o.pool.Link(address, peer.LaneControl).Call(ctx, peer.ServiceName+".Withdraw", &w, &message.Empty{})
+	}()
+}
+
+// meter counts requests in the metrics registry.
+type meter struct{ registry metrics.Registry }
+
+// Count implements entry.Meter.
+func (m meter) Count(o message.Outcome, status int, took time.Duration) {
+	name := "entry." + o.String()
+	if status/100 != 2 {
+		name += ".failed"
+	}
+	metrics.GetOrRegisterTimer(name, m.registry).Update(took)
+}
+
+// record is what the daemon says of itself.
+func (s *Sidecar) record() member.Record {
+	server, load := s.owner.Server()
+	return member.Record{
+		Address: s.Settings.Daemons, DataCentre: s.Settings.DataCentre, Incarnation: s.incarnation,
+		Sequence: s.sequence.Add(1), Server: server, Load: load, IsStopping: s.isStopping.Load(),
+	}
+}
--- /dev/null
+++ b/sidecar/member/doc.go
@@ -0,0 +1,3 @@
+// Package member holds what a daemon believes of the other daemons and of the
+// backend servers beside them.
+package member
--- /dev/null
+++ b/sidecar/member/record.go
@@ -0,0 +1,77 @@
+package member
+
+import "time"
+
+// State is the state of a backend server as it announced it.
+type State int
+
+// The states of a backend server.
+const (
+	// Absent means that no backend server has announced itself.
+	Absent State = iota
+	// Ready means that the backend server takes new requests.
+	Ready
+	// Draining means that the backend server is leaving or gone.
+	Draining
+)
+
+// String returns the state for logs.
+func (s State) String() string {
+	switch s {
+	case Ready:
+		return "ready"
+	case Draining:
+		return "draining"
+	}
+	return "absent"
+}
+
+// Server describes a backend server; it travels between daemons.
+type Server struct {
+	ID      string
+	Service string
+	Address string
+	Version string
+	Slots   int
+	State   State
+	// Born is the start of the incarnation, in milliseconds since 1970 by the clock of its instance.
+	Born int64
+	// Sequence grows with each announcement of one incarnation.
+	Sequence uint64
+	// Cold is how much longer the backend server is slow after its start, counted from its announcement.
+	Cold time.Duration
+}
+
+// Load tells how busy a backend server is; it travels between daemons.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Pace is the service time of the backend server relative to what its requests take elsewhere; 1 is usual.
+	Pace float64
+}
+
+// IsFree reports whether a request would start at once.
+func (l Load) IsFree() bool { return l.Running < l.Slots && l.Waiting == 0 }
+
+// Record is what a daemon says of itself; it travels between daemons.
+type Record struct {
+	// Address is where the daemon takes calls of other daemons.
+	Address    string
+	DataCentre string
+	// Incarnation is the start of the daemon in milliseconds since 1970.
+	Incarnation int64
+	// Sequence grows with each change within one incarnation.
+	Sequence   uint64
+	Server     Server
+	Load       Load
+	IsStopping bool
+}
+
+// IsNewer reports whether the record replaces another one of the same daemon.
+func (r Record) IsNewer(than Record) bool {
+	if r.Incarnation != than.Incarnation {
+		return r.Incarnation > than.Incarnation
+	}
+	return r.Sequence > than.Sequence
+}
--- /dev/null
+++ b/sidecar/member/table.go
@@ -0,0 +1,159 @@
+package member
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Table holds the records of the other daemons; it is safe for concurrent use and its lock is taken last.
+type Table struct {
+	mu      sync.Mutex
+	members map[string]*entry
+}
+
+type entry struct {
+	record  Record
+	isKnown bool
+	heard   time.Time
+	// silentSince is zero while the daemon answers.
+	silentSince time.Time
+}
+
+// Candidate is a backend server that may take a request.
+type Candidate struct {
+	Address    string
+	DataCentre string
+	Server     Server
+	Load       Load
+	// LoadAge is the time since the load was stated.
+	LoadAge time.Duration
+	// IsSilent is true while the daemon beside the backend server does not answer.
+	IsSilent bool
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{members: map[string]*entry{}} }
+
+// Add notes that a daemon may be found at an address and reports whether the address is new.
+func (t *Table) Add(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.members[address]; ok {
+		return false
+	}
+	t.members[address] = &entry{}
+	return true
+}
+
+// Remove forgets a daemon.
+func (t *Table) Remove(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.members, address)
+}
+
+// Addresses returns the addresses of all daemons in ascending order.
+func (t *Table) Addresses() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	addresses := make([]string, 0, len(t.members))
+	for a := range t.members {
+		addresses = append(addresses, a)
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// Hear takes in what a daemon said of itself and reports whether its backend server or its state changed.
+func (t *Table) Hear(now time.Time, r Record) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.members[r.Address]
+	if !ok {
+		e = &entry{}
+		t.members[r.Address] = e
+	}
+	e.heard = now
+	e.silentSince = time.Time{}
+	if e.isKnown && !r.IsNewer(e.record) {
+		return false
+	}
+	isChanged := !e.isKnown || e.record.Server.ID != r.Server.ID || e.record.Server.State != r.Server.State || e.record.IsStopping != r.IsStopping
+	e.record = r
+	e.isKnown = true
+	return isChanged
+}
+
+// NoteLoad takes in a load that came with the answer to a call.
+func (t *Table) NoteLoad(now time.Time, address string, l Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.members[address]; ok && e.isKnown {
+		e.record.Load = l
+		e.heard = now
+		e.silentSince = time.Time{}
+	}
+}
+
+// NoteSent counts a request that is on its way to a daemon until its next load comes in.
+func (t *Table) NoteSent(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.members[address]; ok {
+		e.record.Load.Running++
+	}
+}
+
+// NoteSilent notes that a daemon did not answer and reports whether it answered before.
+func (t *Table) NoteSilent(now time.Time, address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.members[address]
+	if !ok || !e.silentSince.IsZero() {
+		return false
+	}
+	e.silentSince = now
+	return true
+}
+
+// SilentFor returns how long a daemon has not answered, or 0 while it does.
+func (t *Table) SilentFor(now time.Time, address string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.members[address]
+	if !ok || e.silentSince.IsZero() {
+		return 0
+	}
+	return now.Sub(e.silentSince)
+}
+
+// Heard returns when a daemon last said something.
+func (t *Table) Heard(address string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.members[address]; ok {
+		return e.heard
+	}
+	return time.Time{}
+}
+
+// Candidates returns the ready backend servers of a service beside other daemons, in order of address.
+func (t *Table) Candidates(now time.Time, service string) []Candidate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found []Candidate
+	for address, e := range t.members {
+		r := e.record
+		if !e.isKnown || r.IsStopping || r.Server.State != Ready || r.Server.Service != service {
+			continue
+		}
+		found = append(found, Candidate{
+			Address: address, DataCentre: r.DataCentre, Server: r.Server, Load: r.Load,
+			LoadAge: now.Sub(e.heard), IsSilent: !e.silentSince.IsZero(),
+		})
+	}
+	slices.SortFunc(found, func(a, b Candidate) int { return strings.Compare(a.Address, b.Address) })
+	return found
+}
--- /dev/null
+++ b/sidecar/placement/placer.go
@@ -0,0 +1,145 @@
+package placement
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"siskinspar.example/sidecar/member"
+)
+
+const (
+	// neutralTime stands in for the service time of a backend server without samples.
+	neutralTime = 100 * time.Millisecond
+	// smoothing is the weight of a new service time.
+	smoothing = 0.15
+	// failureShare is the share of failures above which a backend server is passed over while others are left.
+	failureShare = 0.3
+	// failureSmoothing is the weight of a new success or failure.
+	failureSmoothing = 0.15
+	// failureMemory is how long the failures of a backend server count without new ones.
+	failureMemory = 3 * time.Second
+	// distance is what another data centre adds to the expected time of a request.
+	distance = 12 * time.Millisecond
+	// nearby is what another instance of the own data centre adds.
+	nearby = 2 * time.Millisecond
+	// crowding is the share by which a full backend server takes longer than an empty one.
+	crowding = 0.5
+)
+
+// Placer picks backend servers for one entry daemon; the shell serialises its calls.
+type Placer struct {
+	// Address, DataCentre and Random are set before use.
+	Address    string
+	DataCentre string
+	Random     *rand.Rand
+
+	observed map[string]*observation
+}
+
+// observation is what the requests sent to one backend server showed.
+type observation struct {
+	pace     float64
+	failures float64
+	failed   time.Time
+}
+
+func (p *Placer) of(id string) *observation {
+	if p.observed == nil {
+		p.observed = map[string]*observation{}
+	}
+	o, ok := p.observed[id]
+	if !ok {
+		o = &observation{pace: 1}
+		p.observed[id] = o
+	}
+	return o
+}
+
+// NoteAnswer takes in the service time of an answer relative to the usual time of its route.
+func (p *Placer) NoteAnswer(id string, took, usual time.Duration) {
+	o := p.of(id)
+	o.failures -= failureSmoothing * o.failures
+	if usual > 0 {
+		o.pace += smoothing * (min(float64(took)/float64(usual), 5) - o.pace)
+	}
+}
+
+// NoteFailure takes in a request that the backend server failed.
+func (p *Placer) NoteFailure(now time.Time, id string) {
+	o := p.of(id)
+	o.failures += failureSmoothing * (1 - o.failures)
+	o.failed = now
+}
+
+// isFailing reports whether a backend server fails many of its requests.
+func (p *Placer) isFailing(now time.Time, id string) bool {
+	o, ok := p.observed[id]
+	return ok && o.failures > failureShare && now.Sub(o.failed) < failureMemory
+}
+
+// Free returns the backend server with a free slot that is expected to answer first.
+func (p *Placer) Free(now time.Time, from []member.Candidate, tried []string) (member.Candidate, bool) {
+	var best member.Candidate
+	var bestTime time.Duration
+	found := false
+	for _, c := range p.usable(now, from, tried) {
+		if !c.Load.IsFree() {
+			continue
+		}
+		t := p.expected(c)
+		if !found || t < bestTime {
+			best, bestTime, found = c, t, true
+		}
+	}
+	return best, found
+}
+
+// Queues returns up to count backend servers at which a request should wait, the most promising first.
+func (p *Placer) Queues(now time.Time, from []member.Candidate, tried []string, count int) []member.Candidate {
+	usable := p.usable(now, from, tried)
+	p.Random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+	if len(usable) <= count {
+		return usable
+	}
+	slices.SortStableFunc(usable, func(a, b member.Candidate) int {
+		return cmp.Compare(a.Load.Waiting*max(1, b.Load.Slots), b.Load.Waiting*max(1, a.Load.Slots))
+	})
+	return usable[:count]
+}
+
+// usable leaves out tried backend servers, and silent and failing ones unless no others are left.
+func (p *Placer) usable(now time.Time, from []member.Candidate, tried []string) []member.Candidate {
+	var sound, doubtful []member.Candidate
+	for _, c := range from {
+		switch {
+		case slices.Contains(tried, c.Server.ID):
+		case c.IsSilent || p.isFailing(now, c.Server.ID):
+			doubtful = append(doubtful, c)
+		default:
+			sound = append(sound, c)
+		}
+	}
+	if len(sound) == 0 {
+		return doubtful
+	}
+	return sound
+}
+
+// expected estimates when an answer would be here; it only compares backend servers of one service.
+func (p *Placer) expected(c member.Candidate) time.Duration {
+	pace := 1.0
+	if o, ok := p.observed[c.Server.ID]; ok {
+		pace = o.pace
+	}
+	fill := float64(c.Load.Running) / float64(max(1, c.Load.Slots))
+	t := time.Duration(float64(neutralTime) * pace * (1 + crowding*fill))
+	switch {
+	case c.Address == p.Address:
+		return t
+	case c.DataCentre == p.DataCentre:
+		return t + nearby
+	}
+	return t + distance
+}
--- /dev/null
+++ b/sidecar/route/route.go
@@ -0,0 +1,79 @@
+package route
+
+import "time"
+
+// Kind tells how often a request may run.
+type Kind int
+
+// The kinds of request.
+const (
+	// Unrepeatable requests run at most once for each attempt of the client.
+	Unrepeatable Kind = iota
+	// Idempotent requests may run more than once.
+	Idempotent
+	// Download requests are idempotent and have large answers.
+	Download
+)
+
+// IsRepeatable reports whether a request of the kind may run again.
+func (k Kind) IsRepeatable() bool { return k != Unrepeatable }
+
+// Cluster is a service that gets a share of the requests of a route.
+type Cluster struct {
+	Service string
+	// Weight is relative to the weights of the other clusters of the route.
+	Weight int
+}
+
+// Declared is a route as the operator declared it.
+type Declared struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time that a request is kept waiting.
+	Timeout time.Duration
+	// Target is the latency within which an answer earns its full worth.
+	Target time.Duration
+	// Priority is the rank of the route; 0 is the highest.
+	Priority int
+	// Attempts is the largest number of backend servers that one request may reach.
+	Attempts int
+	Clusters []Cluster
+}
+
+// Route is one route in force; it is immutable.
+type Route struct {
+	declared Declared
+	total    int
+}
+
+// Name returns the operator's name of the route.
+func (r *Route) Name() string { return r.declared.Name }
+
+// Kind returns how often a request of the route may run.
+func (r *Route) Kind() Kind { return r.declared.Kind }
+
+// Timeout returns the longest time that a request is kept waiting.
+func (r *Route) Timeout() time.Duration { return r.declared.Timeout }
+
+// Target returns the latency within which an answer earns its full worth.
+func (r *Route) Target() time.Duration { return r.declared.Target }
+
+// Priority returns the rank of the route; 0 is the highest.
+func (r *Route) Priority() int { return r.declared.Priority }
+
+// Attempts returns the largest number of backend servers that one request may reach.
+func (r *Route) Attempts() int { return r.declared.Attempts }
+
+// Service returns the service for a draw between 0 and 1, each by its weight.
+func (r *Route) Service(draw float64) string {
+	left := draw * float64(r.total)
+	for _, c := range r.declared.Clusters {
+		left -= float64(c.Weight)
+		if left < 0 {
+			return c.Service
+		}
+	}
+	return r.declared.Clusters[len(r.declared.Clusters)-1].Service
+}
--- /dev/null
+++ b/sidecar/settings/settings.go
@@ -0,0 +1,58 @@
+package settings
+
+import (
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+)
+
+// Settings are all settings of one daemon.
+type Settings struct {
+	// Instance is the name of the instance for logs.
+	Instance   string
+	DataCentre string
+	// Service is the service of the backend server beside the daemon.
+	Service string
+	// Clients is the address for requests of clients and of the backend server.
+	Clients string
+	// Daemons is the address for calls of other daemons; its port is the same on all instances.
+	Daemons string
+	// Readiness is the address at which readiness is asked for.
+	Readiness string
+	// Announcements is the address at which the backend server announces itself.
+	Announcements string
+	// Metrics is the address for metrics, or empty.
+	Metrics string
+	// Store is the address of the platform's store.
+	Store string
+	// Seeds are instances that may know others, as IP addresses.
+	Seeds []netip.Addr
+	// MemoryBytes is the memory that the process may use, or 0.
+	MemoryBytes int64
+	// Grace is how long the process may take to stop, in seconds.
+	GraceSeconds float64
+}
+
+// Check returns every fault of the settings.
+func (s *Settings) Check() []error {
+	var faults []error
+	addresses := []struct{ name, value string }{
+		{"clients", s.Clients}, {"daemons", s.Daemons}, {"readiness", s.Readiness},
+		{"announcements", s.Announcements}, {"store", s.Store},
+	}
+	for _, a := range addresses {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			faults = append(faults, eris.Errorf("%s: %q is no IP address with a port", a.name, a.value))
+		}
+	}
+	if s.DataCentre == "" {
+		faults = append(faults, eris.New("data centre: missing"))
+	}
+	if s.Service == "" {
+		faults = append(faults, eris.New("service: missing"))
+	}
+	if s.GraceSeconds <= 0 {
+		faults = append(faults, eris.Errorf("grace: %v s is not above 0", s.GraceSeconds))
+	}
+	return faults
+}
--- /dev/null
+++ b/sidecar/sidecar.go
@@ -0,0 +1,319 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	"siskinspar.example/sidecar/configuration"
+	"siskinspar.example/sidecar/discovery"
+	"siskinspar.example/sidecar/entry"
+	"siskinspar.example/sidecar/ingress"
+	"siskinspar.example/sidecar/member"
+	"siskinspar.example/sidecar/owner"
+	"siskinspar.example/sidecar/peer"
+	"siskinspar.example/sidecar/placement"
+	"siskinspar.example/sidecar/settings"
+)
+
+const (
+	// membersTable is the table of the store in which daemons find each other.
+	membersTable = "daemons"
+	// stopMargin is kept from the grace period of the platform.
+	stopMargin = 700 * time.Millisecond
+)
+
+// Headers translates the headers of requests and answers.
+type Headers interface {
+	entry.Headers
+	owner.Headers
+}
+
+// Platform is what the daemon meets through its adapter.
+type Platform struct {
+	Headers       Headers
+	Configuration configuration.Decoder
+	Store         discovery.Store
+	// ConfigurationTable and ConfigurationKey name the row of the newest configuration.
+	ConfigurationTable string
+	ConfigurationKey   string
+	// NewAnnouncements returns the handler for the calls of the backend server.
+	NewAnnouncements func(o *owner.Owner, l *slog.Logger) http.Handler
+}
+
+// Sidecar is one running daemon; its exported fields are set before Run.
+type Sidecar struct {
+	Settings *settings.Settings
+	Platform Platform
+	Logger   *slog.Logger
+
+	incarnation   int64
+	registry      metrics.Registry
+	configuration *configuration.Holder
+	members       *member.Table
+	pool          *peer.Pool
+	owner         *owner.Owner
+	quarantine    *Quarantine
+	prober        *discovery.Prober
+	followers     []*discovery.Follower
+	ingress       *ingress.Server
+	peers         *peer.Server
+	servers       []*http.Server
+	isStopping    atomic.Bool
+	sequence      atomic.Uint64
+}
+
+// Run starts all parts, serves until the context ends, then answers what it has read and leaves.
+func (s *Sidecar) Run(ctx context.Context) error {
+	s.incarnation = time.Now().UnixMilli()
+	s.registry = metrics.NewRegistry()
+	s.members = member.NewTable()
+	s.quarantine = &Quarantine{}
+	s.configuration = &configuration.Holder{Decoder: s.Platform.Configuration, Logger: s.Logger}
+	s.pool = &peer.Pool{}
+	following, stopFollowing := context.WithCancel(context.Background())
+	defer stopFollowing()
+	s.startOwner()
+	s.startProber(following)
+	if err := s.startListeners(); err != nil {
+		return err
+	}
+	s.startFollowers(following)
+	go s.register(following)
+	s.Logger.Info("daemon: started", "instance", s.Settings.Instance, "data-centre", s.Settings.DataCentre, "service", s.Settings.Service, "incarnation", s.incarnation)
+	<-ctx.Done()
+	s.stop()
+	return nil
+}
+
+func (s *Sidecar) startOwner() {
+	s.owner = &owner.Owner{
+		Logger: s.Logger, Headers: s.Platform.Headers, OnChange: s.announce,
+		Connections: func(service string) int {
+			if t := s.configuration.Table(); t != nil {
+				return t.Connections(service)
+			}
+			return 0
+		},
+		OnDial: func() { metrics.GetOrRegisterCounter("owner.dials", s.registry).Inc(1) },
+	}
+	s.owner.Run()
+}
+
+// announce tells the other daemons of a change of this one.
+func (s *Sidecar) announce() {
+	s.sequence.Add(1)
+	s.prober.Announce()
+}
+
+func (s *Sidecar) startProber(ctx context.Context) {
+	s.prober = &discovery.Prober{
+		Address: s.Settings.Daemons, Members: s.members, Pool: s.pool, Self: s, Configuration: s.configuration, Logger: s.Logger,
+	}
+	s.configuration.OnChange = s.prober.Announce
+	s.seed()
+	s.prober.Run(ctx)
+}
+
+// seed adds the instances of the settings; all daemons use the same port.
+func (s *Sidecar) seed() {
+	own, err := netip.ParseAddrPort(s.Settings.Daemons)
+	if err != nil {
+		s.Logger.Error("daemon: seeds are not used", "error", err)
+		return
+	}
+	for _, a := range s.Settings.Seeds {
+		s.members.Add(netip.AddrPortFrom(a, own.Port()).String())
+	}
+}
+
+func (s *Sidecar) startListeners() error {
+	directory := &directory{table: s.members, owner: s.owner, address: s.Settings.Daemons, dataCentre: s.Settings.DataCentre}
+	owners := &owners{address: s.Settings.Daemons, local: s.owner, pool: s.pool}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	handler := &entry.Handler{
+		Address: s.Settings.Daemons, Service: s.Settings.Service, Configuration: s.configuration, Directory: directory,
+		Owners: owners, Quarantine: s.quarantine, Headers: s.Platform.Headers, Meter: meter{s.registry}, Logger: s.Logger, Random: random,
+		Placer: &placement.Placer{Address: s.Settings.Daemons, DataCentre: s.Settings.DataCentre, Random: random},
+	}
+	s.peers = &peer.Server{Address: s.Settings.Daemons, Service: &service{s}, Logger: s.Logger}
+	s.ingress = &ingress.Server{Address: s.Settings.Clients, Handler: handler, Limits: s.limits, Logger: s.Logger}
+	if err := s.peers.Run(); err != nil {
+		return err
+	}
+	if err := s.ingress.Run(); err != nil {
+		return err
+	}
+	if err := s.serve(s.Settings.Announcements, s.Platform.NewAnnouncements(s.owner, s.Logger)); err != nil {
+		return err
+	}
+	if err := s.serve(s.Settings.Readiness, s.newReadiness()); err != nil {
+		return err
+	}
+	if s.Settings.Metrics == "" {
+		return nil
+	}
+	return s.serve(s.Settings.Metrics, s.newMetrics())
+}
+
+func (s *Sidecar) serve(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", address)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: requestTimeout, IdleTimeout: time.Minute}
+	s.servers = append(s.servers, server)
+	go func() {
+		if err := server.Serve(l); err != http.ErrServerClosed {
+			s.Logger.Error("daemon: listener failed", "address", address, "error", err)
+		}
+	}()
+	return nil
+}
+
+// requestTimeout bounds the headers of a call of the platform or the backend server.
+const requestTimeout = 5 * time.Second
+
+// limits returns the bounds for clients, also before the first configuration.
+func (s *Sidecar) limits() ingress.Limits {
+	t := s.configuration.Table()
+	if t == nil {
+		return ingress.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: requestTimeout, IdleTimeout: requestTimeout}
+	}
+	return ingress.Limits(t.Limits())
+}
+
+func (s *Sidecar) startFollowers(ctx context.Context) {
+	s.followers = []*discovery.Follower{
+		{Table: s.Platform.ConfigurationTable, Store: s.Platform.Store, Logger: s.Logger, OnRows: s.offerRows},
+		{Table: membersTable, Store: s.Platform.Store, Logger: s.Logger, OnRows: s.addRows},
+	}
+	for _, f := range s.followers {
+		f.Run(ctx)
+	}
+}
+
+func (s *Sidecar) offerRows(rows []discovery.Row) {
+	for _, r := range rows {
+		if r.Key == s.Platform.ConfigurationKey && !r.IsRemoved {
+			s.configuration.Offer(r.Value, "store")
+		}
+	}
+}
+
+// registration is the row of a daemon in the store.
+type registration struct {
+	DataCentre string `json:"dataCentre"`
+}
+
+func (s *Sidecar) addRows(rows []discovery.Row) {
+	for _, r := range rows {
+		if _, err := netip.ParseAddrPort(r.Key); err != nil {
+			s.Logger.Warn("daemon: row without an address", "key", r.Key, "error", err)
+			continue
+		}
+		if r.Key == s.Settings.Daemons || r.IsRemoved {
+			continue
+		}
+		if s.members.Add(r.Key) {
+			s.Logger.Info("daemon: found another daemon", "address", r.Key)
+			s.prober.Announce()
+		}
+	}
+}
+
+// register writes the own row until the store has taken it.
+func (s *Sidecar) register(ctx context.Context) {
+	value, err := json.Marshal(registration{DataCentre: s.Settings.DataCentre})
+	if err != nil {
+		s.Logger.Error("daemon: registration could not be encoded", "error", err)
+		return
+	}
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, registerTimeout)
+		err := s.Platform.Store.Put(limited, membersTable, s.Settings.Daemons, value)
+		cancel()
+		if err == nil {
+			return
+		}
+		s.Logger.Warn("daemon: registration failed", "error", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(registerPause/2 + rand.N(registerPause)):
+		}
+	}
+}
+
+const (
+	// registerTimeout bounds one attempt to write the own row.
+	registerTimeout = 2 * time.Second
+	// registerPause is the mean pause between two attempts.
+	registerPause = 500 * time.Millisecond
+)
+
+// isReady reports whether clients should send requests here.
+func (s *Sidecar) isReady() bool { return !s.isStopping.Load() && s.configuration.Table() != nil }
+
+func (s *Sidecar) newReadiness() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !s.isReady() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+func (s *Sidecar) newMetrics() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(s.registry, w) })
+}
+
+// stop answers the requests that were read, lets the calls of other daemons finish, and closes everything.
+func (s *Sidecar) stop() {
+	limit := time.Duration(s.Settings.GraceSeconds*float64(time.Second)) - stopMargin
+	deadline := time.Now().Add(limit)
+	s.Logger.Info("daemon: stopping", "limit", limit)
+	s.isStopping.Store(true)
+	s.announce()
+	s.ingress.Drain()
+	s.awaitCalls(deadline)
+	s.ingress.Stop(time.Until(deadline))
+	s.peers.Stop()
+	s.owner.Stop()
+	s.pool.Close(eris.New("the daemon stops"))
+	for _, server := range s.servers {
+		if err := server.Close(); err != nil {
+			s.Logger.Warn("daemon: close of a listener failed", "error", err)
+		}
+	}
+	s.Logger.Info("daemon: stopped", "members", strconv.Itoa(len(s.members.Addresses())))
+}
+
+const (
+	// noticeTime is how long clients and other daemons are given to turn to others.
+	noticeTime = 2500 * time.Millisecond
+	// idlePeriod is how often the daemon looks whether calls still run.
+	idlePeriod = 50 * time.Millisecond
+)
+
+// awaitCalls waits until other daemons have turned away and no call runs any more.
+func (s *Sidecar) awaitCalls(deadline time.Time) {
+	notice := time.Now().Add(noticeTime)
+	for time.Now().Before(deadline) {
+		_, load := s.owner.Server()
+		if time.Now().After(notice) && load.Running == 0 && load.Waiting == 0 {
+			return
+		}
+		time.Sleep(idlePeriod)
+	}
+}
--- /dev/null
+++ b/sidecar/slot/controller.go
@@ -0,0 +1,197 @@
+package slot
+
+import (
+	"slices"
+	"time"
+)
+
+// usefulShare is the share of the time left that the expected wait and service may take.
+const usefulShare = 0.9
+
+// running is a job that holds a slot; started is zero until its request has come in.
+type running struct {
+	job     Job
+	started time.Time
+	// lapses is when a slot that is held for a request that has not come in is freed; zero once it has.
+	lapses time.Time
+}
+
+// Controller guards the slots of one backend server.
+type Controller struct {
+	slots      int
+	isDraining bool
+	running    map[Ticket]*running
+	queue      []waiting
+	times      estimates
+	next       Ticket
+}
+
+// NewController returns a controller without slots.
+func NewController() *Controller {
+	return &Controller{running: map[Ticket]*running{}, times: estimates{}}
+}
+
+// SetSlots changes the number of slots; running jobs keep theirs.
+func (c *Controller) SetSlots(n int) { c.slots = n }
+
+// Slots returns the number of jobs that may run at once.
+func (c *Controller) Slots() int { return c.slots }
+
+// Running returns the number of jobs that hold a slot.
+func (c *Controller) Running() int { return len(c.running) }
+
+// Waiting returns the number of whole requests that wait, by their shares.
+func (c *Controller) Waiting() int {
+	total := 0.0
+	for _, w := range c.queue {
+		total += w.job.Share
+	}
+	return int(total + 0.999)
+}
+
+// Expected returns the mean service time of a class.
+func (c *Controller) Expected(class string) time.Duration { return c.times.of(class) }
+
+// Drain refuses all further jobs and those that wait.
+func (c *Controller) Drain() []Notice {
+	c.isDraining = true
+	var notices []Notice
+	for _, w := range c.queue {
+		notices = append(notices, Notice{ticket: w.ticket, reason: ReasonDraining})
+	}
+	c.queue = nil
+	return notices
+}
+
+// Reset forgets all jobs and opens the controller for another incarnation of the backend server.
+func (c *Controller) Reset(slots int) []Notice {
+	notices := c.Drain()
+	c.isDraining = false
+	c.slots = slots
+	c.times = estimates{}
+	return notices
+}
+
+// Arrive decides on a job; one that may not wait runs at once or is refused.
+func (c *Controller) Arrive(now time.Time, j Job, mayWait bool) (Ticket, Verdict, Reason) {
+	if c.isDraining {
+		return 0, Refuse, ReasonDraining
+	}
+	c.next++
+	if len(c.running) < c.slots && len(c.queue) == 0 {
+		c.running[c.next] = &running{job: j, started: now}
+		return c.next, Run, ""
+	}
+	if !mayWait {
+		return 0, Refuse, ReasonBusy
+	}
+	if c.isHopeless(now, j) {
+		return 0, Refuse, ReasonHopeless
+	}
+	c.queue = append(c.queue, waiting{ticket: c.next, job: j})
+	return c.next, Wait, ""
+}
+
+// isHopeless reports whether the jobs ahead leave no time to answer before the deadline.
+func (c *Controller) isHopeless(now time.Time, j Job) bool {
+	needed := c.ExpectedWait(now, j) + c.times.of(j.Class)
+	return float64(needed) > usefulShare*float64(j.Deadline.Sub(now))
+}
+
+// ExpectedWait returns how long the jobs ahead of a new one keep it from a slot.
+func (c *Controller) ExpectedWait(now time.Time, j Job) time.Duration {
+	if c.slots <= 0 {
+		return time.Hour
+	}
+	var ahead float64
+	for _, w := range c.queue {
+		if compare(now, c.times, w.job, j) <= 0 {
+			ahead += w.job.Share * float64(c.times.of(w.job.Class))
+		}
+	}
+	if len(c.running) >= c.slots {
+		ahead += float64(c.times.of(j.Class)) / 2
+	}
+	return time.Duration(ahead / float64(c.slots))
+}
+
+// Hold frees the slot of a job unless its request comes in before the given time.
+func (c *Controller) Hold(t Ticket, until time.Time) {
+	if r, ok := c.running[t]; ok {
+		r.lapses = until
+	}
+}
+
+// Claim starts the job whose slot is held and reports whether it still is.
+func (c *Controller) Claim(now time.Time, t Ticket) bool {
+	r, ok := c.running[t]
+	if !ok || r.lapses.IsZero() {
+		return false
+	}
+	r.lapses = time.Time{}
+	r.started = now
+	return true
+}
+
+// Finish frees the slot of a job whose request was answered and learns from the time that it took.
+func (c *Controller) Finish(now time.Time, t Ticket) []Notice {
+	if r, ok := c.running[t]; ok {
+		c.times.note(r.job.Class, now.Sub(r.started))
+	}
+	return c.Release(now, t)
+}
+
+// Release frees the slot of a job without learning from it.
+func (c *Controller) Release(now time.Time, t Ticket) []Notice {
+	delete(c.running, t)
+	return c.Advance(now)
+}
+
+// Cancel takes a waiting job out of the queue and reports whether it was there.
+func (c *Controller) Cancel(t Ticket) bool {
+	before := len(c.queue)
+	c.queue = slices.DeleteFunc(c.queue, func(w waiting) bool { return w.ticket == t })
+	return len(c.queue) < before
+}
+
+// Advance refuses jobs that have waited too long, frees lapsed slots and fills the free ones.
+func (c *Controller) Advance(now time.Time) []Notice {
+	notices := c.expire(now)
+	for len(c.running) < c.slots && len(c.queue) > 0 {
+		w := c.take(now)
+		c.running[w.ticket] = &running{job: w.job, started: now}
+		notices = append(notices, Notice{ticket: w.ticket})
+	}
+	return notices
+}
+
+func (c *Controller) expire(now time.Time) []Notice {
+	var notices []Notice
+	for t, r := range c.running {
+		if !r.lapses.IsZero() && !now.Before(r.lapses) {
+			delete(c.running, t)
+			notices = append(notices, Notice{ticket: t, reason: ReasonLapsed})
+		}
+	}
+	c.queue = slices.DeleteFunc(c.queue, func(w waiting) bool {
+		if !now.Add(c.times.of(w.job.Class)).After(w.job.Deadline) {
+			return false
+		}
+		notices = append(notices, Notice{ticket: w.ticket, reason: ReasonExpired})
+		return true
+	})
+	return notices
+}
+
+// take removes the job that comes next from the queue.
+func (c *Controller) take(now time.Time) waiting {
+	best := 0
+	for i := range c.queue {
+		if compare(now, c.times, c.queue[i].job, c.queue[best].job) < 0 {
+			best = i
+		}
+	}
+	w := c.queue[best]
+	c.queue = slices.Delete(c.queue, best, best+1)
+	return w
+}
