perf: keep large answers in their data centre and call the store less

Change: downloads wait in the own data centre first; daemons find each other by one list at the start and by the probes of others; feeds last 20 s; the allowance comes from the settings, shared by the number of daemons; owners state the share of failures of their server; the listener closes 2.2 s after SIGTERM.

--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -49,7 +49,7 @@
 // Probe implements discovery.Self.
 func (s *Sidecar) Probe() message.Probe {
 	r := s.record()
-	return message.Probe{Record: r, Version: s.configuration.Version(), Known: len(s.members.Addresses()), Crashes: s.quarantine.Recent(time.Now())}
+	return message.Probe{Record: r, Version: s.configuration.Version(), Known: s.members.Len(), Crashes: s.quarantine.Recent(time.Now())}
 }
 
 // Hear implements discovery.Self.
--- a/sidecar/discovery/follower.go
+++ b/sidecar/discovery/follower.go
@@ -19,8 +19,8 @@
 	longestPause = time.Second
 	// gatherTime joins changes in quick succession to one call.
 	gatherTime = 250 * time.Millisecond
-	// longestFeed bounds a wait for changes whose connection may have fallen silent.
-	longestFeed = 5 * time.Second
+	// longestFeed is how long the store may hold a call for changes.
+	longestFeed = 20 * time.Second
 )
 
 // Follower keeps up with one table of the store; its exported fields are set before Run.
--- a/sidecar/discovery/prober.go
+++ b/sidecar/discovery/prober.go
@@ -156,7 +156,7 @@
 	if reply.Version > p.Configuration.Version() {
 		p.fetch(ctx, address)
 	}
-	if reply.Known > len(p.Members.Addresses()) {
+	if reply.Known > p.Members.Len() {
 		p.fetchMembers(ctx, address)
 	}
 }
--- a/sidecar/entry/handler.go
+++ b/sidecar/entry/handler.go
@@ -30,6 +30,8 @@
 	NoteLoad(now time.Time, address string, l member.Load)
 	// NoteSent counts a request that is on its way.
 	NoteSent(address string)
+	// Daemons returns the number of daemons, this one included.
+	Daemons() int
 }
 
 // Owners reaches the daemons beside the backend servers.
@@ -82,6 +84,7 @@
 	Meter         Meter
 	Logger        *slog.Logger
 	Placer        *placement.Placer
+	Repeats       placement.Allowance
 	Random        *rand.Rand
 
 	number  atomic.Uint64
@@ -163,7 +166,7 @@
 	}
 	b, ok := h.budgets[service]
 	if !ok {
-		b = &placement.Budget{}
+		b = &placement.Budget{Allowance: h.Repeats}
 		h.budgets[service] = b
 	}
 	return b
--- a/sidecar/entry/life.go
+++ b/sidecar/entry/life.go
@@ -107,16 +107,29 @@
 }
 
 func (h *Handler) earn(c *call) {
+	daemons := h.Directory.Daemons()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.budget(c.service).Earn(time.Now())
+	h.budget(c.service).Earn(time.Now(), daemons)
 }
 
 // place finds a backend server: one with a free slot, or the first of several that grants one.
+//
+// A request with a large answer first waits in the own data centre only.
 func (h *Handler) place(ctx context.Context, c *call, now time.Time, mayOffer bool) (place, bool) {
 	candidates := h.Directory.Candidates(now, c.service)
+	isBulk := c.route.Kind() == route.Download
+	if isBulk {
+		if p, ok := h.placeAmong(ctx, c, now, h.Placer.Near(candidates), mayOffer); ok {
+			return p, true
+		}
+	}
+	return h.placeAmong(ctx, c, now, candidates, mayOffer)
+}
+
+func (h *Handler) placeAmong(ctx context.Context, c *call, now time.Time, candidates []member.Candidate, mayOffer bool) (place, bool) {
 	h.mu.Lock()
-	free, ok := h.Placer.Free(now, candidates, c.tried)
+	free, ok := h.Placer.Free(now, candidates, c.tried, c.route.Kind() == route.Download)
 	queues := h.Placer.Queues(now, candidates, c.tried, queueCount)
 	h.mu.Unlock()
 	if ok && mayOffer {
@@ -227,9 +240,10 @@
 }
 
 func (h *Handler) spend(c *call) bool {
+	daemons := h.Directory.Daemons()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.budget(c.service).Spend(time.Now())
+	return h.budget(c.service).Spend(time.Now(), daemons)
 }
 
 func (h *Handler) noteFailure(server string) {
--- a/sidecar/member/record.go
+++ b/sidecar/member/record.go
@@ -47,8 +47,8 @@
 	Running int
 	Waiting int
 	Slots   int
-	// Pace is the service time of the backend server relative to what its requests take elsewhere; 1 is usual.
-	Pace float64
+	// Failing is the share of its latest requests that the backend server failed or turned away.
+	Failing float64
 }
 
 // IsFree reports whether a request would start at once.
--- a/sidecar/member/table.go
+++ b/sidecar/member/table.go
@@ -54,6 +54,13 @@
 	delete(t.members, address)
 }
 
+// Len returns the number of daemons in the table.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.members)
+}
+
 // Addresses returns the addresses of all daemons in ascending order.
 func (t *Table) Addresses() []string {
 	t.mu.Lock()
--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"siskinspar.example/sidecar/member"
@@ -144,6 +145,7 @@
 	} else {
 		o.notify(o.slots.Release(now, j.ticket))
 	}
+	o.failing.note(now, isFailure(reply))
 	if result.IsRefused && o.server.ID == c.Job.Server {
 		o.downUntil = now.Add(downTime)
 	}
@@ -169,3 +171,14 @@
 	}
 	return message.Reply{Outcome: message.Unknown, Reason: ReasonBroken + ": " + result.Err.Error()}
 }
+
+// isFailure reports whether the backend server, and not its load or the caller, is the reason for a missing success.
+func isFailure(r message.Reply) bool {
+	switch r.Outcome {
+	case message.Ran:
+		return r.Answer.Status >= http.StatusInternalServerError && r.Answer.Status != http.StatusGatewayTimeout
+	case message.NotRun:
+		return true
+	}
+	return !r.IsExpired && r.Reason != ReasonWithdrawn
+}
--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -60,6 +60,7 @@
 	jobs      map[key]*job
 	tickets   map[slot.Ticket]*job
 	downUntil time.Time
+	failing   failing
 	done      chan struct{}
 	stop      chan struct{}
 }
@@ -133,7 +134,7 @@
 }
 
 func (o *Owner) load() member.Load {
-	return member.Load{Running: o.slots.Running(), Waiting: o.slots.Waiting(), Slots: o.slots.Slots(), Pace: 1}
+	return member.Load{Running: o.slots.Running(), Waiting: o.slots.Waiting(), Slots: o.slots.Slots(), Failing: o.failing.share(time.Now())}
 }
 
 // Announce takes in what the backend server says of itself and reports whether it changed anything.
@@ -175,6 +176,7 @@
 	if o.client != nil {
 		o.client.Close()
 	}
+	o.failing = failing{}
 	o.client = &upstream.Client{Address: s.Address, Connections: o.Connections(s.Service), IDHeader: o.Headers.IDHeader(), OnDial: o.OnDial}
 	o.server = s
 }
--- a/sidecar/placement/placer.go
+++ b/sidecar/placement/placer.go
@@ -22,6 +22,8 @@
 	failureMemory = 3 * time.Second
 	// distance is what another data centre adds to the expected time of a request.
 	distance = 12 * time.Millisecond
+	// bulkDistance is what another data centre adds for large answers, whose bytes between data centres are dear.
+	bulkDistance = 150 * time.Millisecond
 	// nearby is what another instance of the own data centre adds.
 	nearby = 2 * time.Millisecond
 	// crowding is the share by which a full backend server takes longer than an empty one.
@@ -80,7 +82,7 @@
 }
 
 // Free returns the backend server with a free slot that is expected to answer first.
-func (p *Placer) Free(now time.Time, from []member.Candidate, tried []string) (member.Candidate, bool) {
+func (p *Placer) Free(now time.Time, from []member.Candidate, tried []string, isBulk bool) (member.Candidate, bool) {
 	var best member.Candidate
 	var bestTime time.Duration
 	found := false
@@ -88,7 +90,7 @@
 		if !c.Load.IsFree() {
 			continue
 		}
-		t := p.expected(c)
+		t := p.expected(c, isBulk)
 		if !found || t < bestTime {
 			best, bestTime, found = c, t, true
 		}
@@ -96,6 +98,17 @@
 	return best, found
 }
 
+// Near returns the candidates of the own data centre.
+func (p *Placer) Near(from []member.Candidate) []member.Candidate {
+	var near []member.Candidate
+	for _, c := range from {
+		if c.DataCentre == p.DataCentre {
+			near = append(near, c)
+		}
+	}
+	return near
+}
+
 // Queues returns up to count backend servers at which a request should wait, the most promising first.
 func (p *Placer) Queues(now time.Time, from []member.Candidate, tried []string, count int) []member.Candidate {
 	usable := p.usable(now, from, tried)
@@ -115,7 +128,7 @@
 	for _, c := range from {
 		switch {
 		case slices.Contains(tried, c.Server.ID):
-		case c.IsSilent || p.isFailing(now, c.Server.ID):
+		case c.IsSilent || c.Load.Failing > failureShare || p.isFailing(now, c.Server.ID):
 			doubtful = append(doubtful, c)
 		default:
 			sound = append(sound, c)
@@ -128,7 +141,7 @@
 }
 
 // expected estimates when an answer would be here; it only compares backend servers of one service.
-func (p *Placer) expected(c member.Candidate) time.Duration {
+func (p *Placer) expected(c member.Candidate, isBulk bool) time.Duration {
 	pace := 1.0
 	if o, ok := p.observed[c.Server.ID]; ok {
 		pace = o.pace
@@ -140,6 +153,8 @@
 		return t
 	case c.DataCentre == p.DataCentre:
 		return t + nearby
+	case isBulk:
+		return t + bulkDistance
 	}
 	return t + distance
 }
--- a/sidecar/settings/settings.go
+++ b/sidecar/settings/settings.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/rotisserie/eris"
+
+	"siskinspar.example/sidecar/placement"
 )
 
 // Settings are all settings of one daemon.
@@ -29,8 +32,10 @@
 	Seeds []netip.Addr
 	// MemoryBytes is the memory that the process may use, or 0.
 	MemoryBytes int64
-	// Grace is how long the process may take to stop, in seconds.
-	GraceSeconds float64
+	// Grace is how long the process may take to stop.
+	Grace time.Duration
+	// Repeats bounds how often requests arrive at a further backend server, over all daemons.
+	Repeats placement.Allowance
 }
 
 // Check returns every fault of the settings.
@@ -51,8 +56,11 @@
 	if s.Service == "" {
 		faults = append(faults, eris.New("service: missing"))
 	}
-	if s.GraceSeconds <= 0 {
-		faults = append(faults, eris.Errorf("grace: %v s is not above 0", s.GraceSeconds))
+	if s.Grace <= 0 {
+		faults = append(faults, eris.Errorf("grace: %v is not above 0", s.Grace))
+	}
+	if s.Repeats.Ratio < 0 || s.Repeats.Slack < 0 || s.Repeats.Window <= 0 {
+		faults = append(faults, eris.Errorf("repeats: out of range: %+v", s.Repeats))
 	}
 	return faults
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -30,7 +29,7 @@
 	// membersTable is the table of the store in which daemons find each other.
 	membersTable = "daemons"
 	// stopMargin is kept from the grace period of the platform.
-	stopMargin = 700 * time.Millisecond
+	stopMargin = time.Second
 )
 
 // Headers translates the headers of requests and answers.
@@ -143,7 +142,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	handler := &entry.Handler{
 		Address: s.Settings.Daemons, Service: s.Settings.Service, Configuration: s.configuration, Directory: directory,
-		Owners: owners, Quarantine: s.quarantine, Headers: s.Platform.Headers, Meter: meter{s.registry}, Logger: s.Logger, Random: random,
+		Owners: owners, Quarantine: s.quarantine, Headers: s.Platform.Headers, Meter: meter{s.registry}, Logger: s.Logger, Random: random, Repeats: s.Settings.Repeats,
 		Placer: &placement.Placer{Address: s.Settings.Daemons, DataCentre: s.Settings.DataCentre, Random: random},
 	}
 	s.peers = &peer.Server{Address: s.Settings.Daemons, Service: &service{s}, Logger: s.Logger}
@@ -196,7 +195,6 @@
 func (s *Sidecar) startFollowers(ctx context.Context) {
 	s.followers = []*discovery.Follower{
 		{Table: s.Platform.ConfigurationTable, Store: s.Platform.Store, Logger: s.Logger, OnRows: s.offerRows},
-		{Table: membersTable, Store: s.Platform.Store, Logger: s.Logger, OnRows: s.addRows},
 	}
 	for _, f := range s.followers {
 		f.Run(ctx)
@@ -232,21 +230,35 @@
 	}
 }
 
-// register writes the own row until the store has taken it.
+// register writes the own row and then reads those of the others; a daemon that is not in the list yet will read the own row.
 func (s *Sidecar) register(ctx context.Context) {
 	value, err := json.Marshal(registration{DataCentre: s.Settings.DataCentre})
 	if err != nil {
 		s.Logger.Error("daemon: registration could not be encoded", "error", err)
 		return
 	}
+	s.persist(ctx, "write the own row", func(ctx context.Context) error {
+		return s.Platform.Store.Put(ctx, membersTable, s.Settings.Daemons, value)
+	})
+	s.persist(ctx, "read the rows of the daemons", func(ctx context.Context) error {
+		page, err := s.Platform.Store.List(ctx, membersTable)
+		if err == nil {
+			s.addRows(page.Rows)
+		}
+		return err
+	})
+}
+
+// persist repeats a call of the store until it succeeds.
+func (s *Sidecar) persist(ctx context.Context, purpose string, call func(context.Context) error) {
 	for ctx.Err() == nil {
 		limited, cancel := context.WithTimeout(ctx, registerTimeout)
-		err := s.Platform.Store.Put(limited, membersTable, s.Settings.Daemons, value)
+		err := call(limited)
 		cancel()
 		if err == nil {
 			return
 		}
-		s.Logger.Warn("daemon: registration failed", "error", err)
+		s.Logger.Warn("daemon: store call failed", "purpose", purpose, "error", err)
 		select {
 		case <-ctx.Done():
 		case <-time.After(registerPause/2 + rand.N(registerPause)):
@@ -279,15 +291,18 @@
 }
 
 // stop answers the requests that were read, lets the calls of other daemons finish, and closes everything.
+//
+// Clients are given the time in which readiness is asked for twice; then the listener refuses them, and they turn to
+// another daemon without a request in doubt.
 func (s *Sidecar) stop() {
-	limit := time.Duration(s.Settings.GraceSeconds*float64(time.Second)) - stopMargin
-	deadline := time.Now().Add(limit)
-	s.Logger.Info("daemon: stopping", "limit", limit)
+	deadline := time.Now().Add(s.Settings.Grace - stopMargin)
+	s.Logger.Info("daemon: stopping", "limit", s.Settings.Grace-stopMargin)
 	s.isStopping.Store(true)
 	s.announce()
 	s.ingress.Drain()
-	s.awaitCalls(deadline)
+	time.Sleep(min(noticeTime, time.Until(deadline)/2))
 	s.ingress.Stop(time.Until(deadline))
+	s.awaitCalls(deadline)
 	s.peers.Stop()
 	s.owner.Stop()
 	s.pool.Close(eris.New("the daemon stops"))
@@ -296,24 +311,23 @@
 			s.Logger.Warn("daemon: close of a listener failed", "error", err)
 		}
 	}
-	s.Logger.Info("daemon: stopped", "members", strconv.Itoa(len(s.members.Addresses())))
+	s.Logger.Info("daemon: stopped")
 }
 
 const (
 	// noticeTime is how long clients and other daemons are given to turn to others.
-	noticeTime = 2500 * time.Millisecond
+	noticeTime = 2200 * time.Millisecond
 	// idlePeriod is how often the daemon looks whether calls still run.
 	idlePeriod = 50 * time.Millisecond
 )
 
-// awaitCalls waits until other daemons have turned away and no call runs any more.
+// awaitCalls waits until no call of another daemon runs any more.
 func (s *Sidecar) awaitCalls(deadline time.Time) {
-	notice := time.Now().Add(noticeTime)
 	for time.Now().Before(deadline) {
-		_, load := s.owner.Server()
-		if time.Now().After(notice) && load.Running == 0 && load.Waiting == 0 {
+		if _, load := s.owner.Server(); load.Running == 0 && load.Waiting == 0 {
 			return
 		}
 		time.Sleep(idlePeriod)
 	}
+	s.Logger.Warn("daemon: calls are cut at the end of the drain")
 }
