--- a/capacity/slope/mesh_test.go
+++ b/capacity/slope/mesh_test.go
@@ -16,10 +16,10 @@
 
 	"siskinspar.example/daemon/settings"
 	"siskinspar.example/declaration"
-	"siskinspar.example/platform/standin"
 	"siskinspar.example/request/outcome"
 	"siskinspar.example/standin/backend"
 	"siskinspar.example/standin/mesh"
+	"siskinspar.example/standin/platform"
 	"siskinspar.example/versionlog"
 	"siskinspar.example/versionlog/record"
 )
@@ -27,7 +27,7 @@
 // newMesh starts daemons in three data centres of equal size.
 func newMesh(b *testing.B, daemons int, adjust func(*settings.Settings)) *mesh.Mesh {
 	b.Helper()
-	m := &mesh.Mesh{Platform: &standin.Server{}, Adjust: adjust}
+	m := &mesh.Mesh{Platform: &platform.Server{}, Adjust: adjust}
 	b.Cleanup(m.Stop)
 	assert.NilError(b, m.StartPlatform())
 	for i := range daemons {
--- a/capacity/slope/process_test.go
+++ b/capacity/slope/process_test.go
@@ -18,7 +18,7 @@
 	"siskinspar.example/capacity/slope"
 	"siskinspar.example/daemon/peer"
 	"siskinspar.example/distribution"
-	"siskinspar.example/platform/standin"
+	"siskinspar.example/standin/platform"
 	"siskinspar.example/versionlog"
 )
 
@@ -50,9 +50,7 @@
 token = measured-token
 backend-token = measured-token
 [platform]
-table-endpoint = %[1]s
-access-key = a
-secret-key = b
+address = %[1]s
 `
 
 // process is a daemon process with an IP number of its own.
@@ -68,13 +66,13 @@
 	binary := filepath.Join(directory, "siskinspar")
 	output, err := exec.Command("go", "build", "-o", binary, "siskinspar.example/cmd/siskinspar").CombinedOutput()
 	assert.NilError(b, err, string(output))
-	store := httptest.NewServer(&standin.Server{})
+	store := httptest.NewServer(&platform.Server{})
 	b.Cleanup(store.Close)
 	var processes []process
 	for i := range count {
 		p := process{host: fmt.Sprintf("127.0.99.%d", i+1)}
 		path := filepath.Join(directory, p.host+".ini")
-		assert.NilError(b, os.WriteFile(path, fmt.Appendf(nil, processSettings, store.URL, p.host, string(rune('a'+i%3))), 0o600))
+		assert.NilError(b, os.WriteFile(path, fmt.Appendf(nil, processSettings, strings.TrimPrefix(store.URL, "http://"), p.host, string(rune('a'+i%3))), 0o600))
 		p.command = exec.Command(binary, "daemon", "--settings", path)
 		assert.NilError(b, p.command.Start())
 		b.Cleanup(func() {
--- a/cmd/integration/configuration_test.go
+++ b/cmd/integration/configuration_test.go
@@ -15,7 +15,7 @@
 
 	"siskinspar.example/daemon/operatorapi"
 	"siskinspar.example/declaration"
-	platform "siskinspar.example/platform/standin"
+	"siskinspar.example/standin/platform"
 	"siskinspar.example/versionlog"
 )
 
--- a/cmd/integration/harness_test.go
+++ b/cmd/integration/harness_test.go
@@ -22,7 +22,7 @@
 
 	"siskinspar.example/daemon/operatorapi"
 	"siskinspar.example/declaration"
-	platform "siskinspar.example/platform/standin"
+	"siskinspar.example/standin/platform"
 )
 
 // patience bounds every wait; it decides only how long a failing test takes to fail.
@@ -142,7 +142,7 @@
 	t.Helper()
 	m := &mesh{t: t, subnet: int(subnets.Add(1)), control: &http.Client{Timeout: patience}}
 	m.store = m.nextHost() + ":7900"
-	start(t, "standin", "platform", "--listen", m.store, "--access-key", "integration")
+	start(t, "standin", "platform", "--listen", m.store)
 	return m
 }
 
@@ -171,9 +171,7 @@
 token = ` + operatorToken + `
 backend-token = ` + backendToken + `
 [platform]
-table-endpoint = http://%s
-access-key = integration
-secret-key = integration-secret
+address = %s
 timeout = 1s
 [control]
 probe-period = 200ms
--- a/cmd/integration/input_test.go
+++ b/cmd/integration/input_test.go
@@ -35,16 +35,13 @@
 token = short
 backend-token = long-enough-token
 [platform]
-table-endpoint = nowhere
-object-endpoint = http://127.0.0.1:7900
-access-key = a
-secret-key = b
+address = nowhere
 timeout = soon
 `
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 	output, code := run(t, "settings", "check", path)
 	assert.Equal(t, code, 2, output)
-	for _, fault := range []string{"[callers] listen", "[peers] probes", "[operators] token", "[platform] table-endpoint", "[platform] timeout"} {
+	for _, fault := range []string{"[callers] listen", "[peers] probes", "[operators] token", "[platform] address", "[platform] timeout"} {
 		assert.Equal(t, strings.Count(output, fault+":"), 1, output)
 	}
 	assert.Assert(t, cmp.Contains(output, "5 faults"))
--- a/cmd/integration/once_test.go
+++ b/cmd/integration/once_test.go
@@ -14,9 +14,9 @@
 	"github.com/Shopify/toxiproxy"
 	"gotest.tools/v3/assert"
 
-	platform "siskinspar.example/platform/standin"
 	"siskinspar.example/request/outcome"
 	"siskinspar.example/standin/load"
+	"siskinspar.example/standin/platform"
 )
 
 func keyed(key string) http.Header {
--- a/cmd/trial/standin.go
+++ b/cmd/trial/standin.go
@@ -13,8 +13,8 @@
 	"siskinspar.example/cmd/option"
 	"siskinspar.example/daemon/operatorapi"
 	"siskinspar.example/daemon/settings"
-	platform "siskinspar.example/platform/standin"
 	"siskinspar.example/standin/backend"
+	"siskinspar.example/standin/platform"
 )
 
 // NewStandin returns the commands that run stand-ins.
@@ -32,12 +32,11 @@
 		Usage: "serve the table and the object store from memory",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "listen", Usage: "`ADDRESS` to listen on", Value: "127.0.0.1:7900"},
-			&cli.StringFlag{Name: "access-key", Usage: "only `KEY` that is let in"},
 			&cli.FloatFlag{Name: "writes", Usage: "`WRITES` a second that are let through, 0 for no limit"},
 			&cli.FloatFlag{Name: "reads", Usage: "`READS` a second that are let through, 0 for no limit"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			s := &platform.Server{AccessKey: c.String("access-key"), WritesPerSecond: c.Float("writes"), ReadsPerSecond: c.Float("reads")}
+			s := &platform.Server{WritesPerSecond: c.Float("writes"), ReadsPerSecond: c.Float("reads")}
 			return serve(ctx, c.String("listen"), s)
 		},
 	}
--- a/daemon/claimer/claimer.go
+++ b/daemon/claimer/claimer.go
@@ -9,9 +9,9 @@
 	"github.com/google/uuid"
 
 	"siskinspar.example/daemon/backoff"
-	"siskinspar.example/platform"
 	"siskinspar.example/request/claim"
 	"siskinspar.example/request/outcome"
+	"siskinspar.example/store"
 )
 
 const (
@@ -46,8 +46,8 @@
 // Claimer runs requests under claims; its exported fields are set before use.
 type Claimer struct {
 	Self    string
-	Table   platform.Table
-	Objects platform.Objects
+	Table   store.Table
+	Objects store.Objects
 	Holders Holders
 	// Timeout bounds one call to the platform.
 	Timeout time.Duration
@@ -126,7 +126,7 @@
 // attempt is one try to run a request.
 type attempt struct {
 	claimer     *Claimer
-	key         platform.Key
+	key         store.Key
 	fingerprint string
 	token       claim.Token
 	revision    uint64
@@ -207,14 +207,14 @@
 		return false, a.refusal(outcome.ReasonStore)
 	}
 	for range writeAttempts {
-		err = a.transact(ctx, w)
+		err = a.transact(ctx, w, claim.ExpiryWrite(a.key, row.Expires))
 		switch {
 		case err == nil:
 			a.revision = w.Revision
 			return true, nil
-		case platform.IsCause(err, platform.CauseConflict):
+		case store.IsCause(err, store.CauseConflict):
 			return a.isOwn(ctx)
-		case !platform.IsCause(err, platform.CauseUnknown):
+		case !store.IsCause(err, store.CauseUnknown):
 			return false, a.refusal(outcome.ReasonStore)
 		case !backoff.Sleep(ctx, pause):
 			return false, a.refusal(outcome.ReasonStore)
@@ -233,10 +233,10 @@
 	return true, nil
 }
 
-func (a *attempt) transact(ctx context.Context, w platform.Write) error {
+func (a *attempt) transact(ctx context.Context, writes ...store.Write) error {
 	limited, cancel := context.WithTimeout(ctx, a.claimer.Timeout)
 	defer cancel()
-	return a.claimer.Table.Transact(limited, []platform.Write{w})
+	return a.claimer.Table.Transact(limited, writes)
 }
 
 // look reads the row of the key; its revision is 0 when there is none.
@@ -323,6 +323,6 @@
 // withdraw takes the claim back after a proven failure to dispatch; should that fail, this daemon still tells others.
 func (a *attempt) withdraw() {
 	a.claimer.end(a.token, claim.StateAbandoned)
-	w := platform.Write{Key: a.key, IsDelete: true, Condition: platform.IfRevision, Expected: a.revision}
+	w := store.Write{Key: a.key, IsDelete: true, Condition: store.IfRevision, Expected: a.revision}
 	_ = a.transact(context.Background(), w)
 }
--- a/daemon/claimer/claimer_test.go
+++ b/daemon/claimer/claimer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,11 +11,10 @@
 	"gotest.tools/v3/assert"
 
 	"siskinspar.example/daemon/claimer"
-	"siskinspar.example/platform/dynamo"
-	"siskinspar.example/platform/objects"
-	"siskinspar.example/platform/standin"
+	"siskinspar.example/platform/rowstore"
 	"siskinspar.example/request/claim"
 	"siskinspar.example/request/outcome"
+	"siskinspar.example/standin/platform"
 )
 
 // holder answers for the daemon that holds a claim.
@@ -23,10 +23,11 @@
 func (h holder) Ask(context.Context, string, claim.Token) claim.State { return h.state }
 
 func newClaimer(h *httptest.Server, name string, state claim.State) *claimer.Claimer {
+	client := rowstore.NewClient(strings.TrimPrefix(h.URL, "http://"))
 	return &claimer.Claimer{
 		Self:    name,
-		Table:   dynamo.New(dynamo.Options{Endpoint: h.URL, Region: "local", AccessKey: "a", SecretKey: "b", Table: "t", Client: h.Client()}),
-		Objects: objects.New(objects.Options{Endpoint: h.URL, Region: "local", AccessKey: "a", SecretKey: "b", Bucket: "b", Client: h.Client()}),
+		Table:   rowstore.Table{Client: client},
+		Objects: rowstore.Objects{Client: client},
 		Holders: holder{state},
 		Timeout: time.Second,
 	}
@@ -45,27 +46,27 @@
 		earlier *outcome.Failure
 		hasRun  bool
 		state   claim.State
-		fault   standin.Fault
+		fault   platform.Fault
 		request claimer.Request
 		outcome outcome.Outcome
 		reason  outcome.Reason
 		runs    int32
 	}{
-		{"nothing came before", nil, false, claim.StateUnknown, standin.Fault{}, request, outcome.Ran, "", 1},
-		{"an answer came before", nil, true, claim.StateAnswered, standin.Fault{}, request, outcome.Ran, "", 0},
-		{"the earlier fate is unknown", unknown, true, claim.StateFailed, standin.Fault{}, request, outcome.Unknown, outcome.ReasonClaimed, 0},
-		{"the holder has forgotten", unknown, true, claim.StateUnknown, standin.Fault{}, request, outcome.Unknown, outcome.ReasonClaimed, 0},
-		{"the holder never dispatched", unknown, true, claim.StateAbandoned, standin.Fault{}, request, outcome.Ran, "", 1},
-		{"the earlier attempt was refused", refused, true, claim.StateUnknown, standin.Fault{}, request, outcome.Ran, "", 1},
-		{"the key has another body", nil, true, claim.StateAnswered, standin.Fault{}, claimer.Request{Intent: "repayment", Key: "k", Method: "POST", Target: "/repayments", Body: []byte("other")}, outcome.NotRun, outcome.ReasonKeyReused, 0},
-		{"the key is missing", nil, false, claim.StateUnknown, standin.Fault{}, claimer.Request{Intent: "repayment"}, outcome.NotRun, outcome.ReasonMissingKey, 0},
-		{"the store is down", nil, false, claim.StateUnknown, standin.Fault{Mode: standin.ModeDown}, request, outcome.NotRun, outcome.ReasonStore, 0},
-		{"the store is at its rate", nil, false, claim.StateUnknown, standin.Fault{Mode: standin.ModeThrottled}, request, outcome.NotRun, outcome.ReasonStore, 0},
-		{"the answer of the claim is lost", nil, false, claim.StateUnknown, standin.Fault{Mode: standin.ModeLostAnswer, Count: 1}, request, outcome.Ran, "", 1},
-		{"the answers of the claim and of the answer are lost", nil, false, claim.StateUnknown, standin.Fault{Mode: standin.ModeLostAnswer, Count: 2}, request, outcome.Ran, "", 1},
+		{"nothing came before", nil, false, claim.StateUnknown, platform.Fault{}, request, outcome.Ran, "", 1},
+		{"an answer came before", nil, true, claim.StateAnswered, platform.Fault{}, request, outcome.Ran, "", 0},
+		{"the earlier fate is unknown", unknown, true, claim.StateFailed, platform.Fault{}, request, outcome.Unknown, outcome.ReasonClaimed, 0},
+		{"the holder has forgotten", unknown, true, claim.StateUnknown, platform.Fault{}, request, outcome.Unknown, outcome.ReasonClaimed, 0},
+		{"the holder never dispatched", unknown, true, claim.StateAbandoned, platform.Fault{}, request, outcome.Ran, "", 1},
+		{"the earlier attempt was refused", refused, true, claim.StateUnknown, platform.Fault{}, request, outcome.Ran, "", 1},
+		{"the key has another body", nil, true, claim.StateAnswered, platform.Fault{}, claimer.Request{Intent: "repayment", Key: "k", Method: "POST", Target: "/repayments", Body: []byte("other")}, outcome.NotRun, outcome.ReasonKeyReused, 0},
+		{"the key is missing", nil, false, claim.StateUnknown, platform.Fault{}, claimer.Request{Intent: "repayment"}, outcome.NotRun, outcome.ReasonMissingKey, 0},
+		{"the store is down", nil, false, claim.StateUnknown, platform.Fault{Mode: platform.ModeDown}, request, outcome.NotRun, outcome.ReasonStore, 0},
+		{"the store is at its rate", nil, false, claim.StateUnknown, platform.Fault{Mode: platform.ModeThrottled}, request, outcome.NotRun, outcome.ReasonStore, 0},
+		{"the answer of the claim is lost", nil, false, claim.StateUnknown, platform.Fault{Mode: platform.ModeLostAnswer, Count: 1}, request, outcome.Ran, "", 1},
+		{"the answers of the claim and of the answer are lost", nil, false, claim.StateUnknown, platform.Fault{Mode: platform.ModeLostAnswer, Count: 2}, request, outcome.Ran, "", 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := &standin.Server{}
+			s := &platform.Server{}
 			h := httptest.NewServer(s)
 			t.Cleanup(h.Close)
 			if c.hasRun {
@@ -92,7 +93,7 @@
 }
 
 func TestAWaitThatEndsBeforeTheDispatchLeavesTheKeyFree(t *testing.T) {
-	h := httptest.NewServer(&standin.Server{})
+	h := httptest.NewServer(&platform.Server{})
 	t.Cleanup(h.Close)
 	c := newClaimer(h, "one", claim.StateUnknown)
 	full := func(context.Context) (func(), *outcome.Failure) {
--- a/daemon/claimer/store.go
+++ b/daemon/claimer/store.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"siskinspar.example/platform"
 	"siskinspar.example/request/claim"
+	"siskinspar.example/store"
 )
 
 // store keeps the answer for resends; the caller waits for it no longer than the limit, the writes go on.
@@ -39,8 +39,8 @@
 		return
 	}
 	a.repeat(func(ctx context.Context) error {
-		err := a.claimer.Table.Transact(ctx, []platform.Write{w})
-		if platform.IsCause(err, platform.CauseConflict) {
+		err := a.claimer.Table.Transact(ctx, []store.Write{w})
+		if store.IsCause(err, store.CauseConflict) {
 			// An earlier write of this answer took effect although its own answer was lost.
 			return nil
 		}
--- a/daemon/commit/committer.go
+++ b/daemon/commit/committer.go
@@ -10,7 +10,7 @@
 	"siskinspar.example/daemon/link"
 	"siskinspar.example/daemon/storage"
 	"siskinspar.example/declaration"
-	"siskinspar.example/platform"
+	"siskinspar.example/store"
 	"siskinspar.example/timeline"
 	"siskinspar.example/versionlog"
 	"siskinspar.example/versionlog/record"
@@ -137,7 +137,7 @@
 			return
 		}
 		last = err
-		if err != nil && !platform.IsCause(err, platform.CauseConflict) {
+		if err != nil && !store.IsCause(err, store.CauseConflict) {
 			backoff.Sleep(ctx, backoff.Jitter(retryPause))
 		}
 		if ctx.Err() != nil {
@@ -180,7 +180,7 @@
 	}
 	state := c.Configuration.State()
 	if state.Version() != head.Version {
-		return false, platform.NewError("prepare", platform.CauseConflict, nil)
+		return false, store.NewError("prepare", store.CauseConflict, nil)
 	}
 	change, results := versionlog.Plan(state, submissions, time.Now().UTC())
 	if len(change.Accepted) > 0 {
@@ -210,7 +210,7 @@
 }
 
 func (c *Committer) noteCommitError(err error) {
-	if !platform.IsCause(err, platform.CauseConflict) {
+	if !store.IsCause(err, store.CauseConflict) {
 		c.Storage.Note(err)
 	}
 }
--- a/daemon/control/join.go
+++ b/daemon/control/join.go
@@ -9,7 +9,7 @@
 	"siskinspar.example/daemon/backoff"
 	"siskinspar.example/declaration"
 	"siskinspar.example/membership"
-	"siskinspar.example/platform"
+	"siskinspar.example/store"
 )
 
 const (
@@ -136,8 +136,8 @@
 	}
 	ctx, cancel := n.Storage.Context()
 	defer cancel()
-	n.Storage.Note(n.Storage.Log.Table.Transact(ctx, []platform.Write{{
-		Key: platform.Key{Partition: partitionSeed, Sort: string(own.DataCentre) + "/" + slot}, Revision: own.Incarnation, Value: value,
+	n.Storage.Note(n.Storage.Log.Table.Transact(ctx, []store.Write{{
+		Key: store.Key{Partition: partitionSeed, Sort: string(own.DataCentre) + "/" + slot}, Revision: own.Incarnation, Value: value,
 	}}))
 }
 
--- a/daemon/part/control/part.go
+++ b/daemon/part/control/part.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"siskinspar.example/daemon/claimer"
 	"siskinspar.example/daemon/control"
 	"siskinspar.example/daemon/core"
@@ -59,7 +61,15 @@
 	c.Claimer.Holders = c.Node
 	c.Guard.Spreader = c.Node
 	c.Node.Start(ctx)
-	p.done = c.Node.Done()
+	done := make(chan struct{})
+	p.done = done
+	var group conc.WaitGroup
+	group.Go(func() { c.Claimer.RunSweeps(ctx, c.Logger) })
+	group.Go(func() { <-c.Node.Done() })
+	go func() {
+		group.Wait()
+		close(done)
+	}()
 	return nil
 }
 
--- a/daemon/settings/check.go
+++ b/daemon/settings/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"net/url"
 )
 
 // CheckAddress returns a fault unless the value is an IP number with a port.
@@ -16,15 +15,6 @@
 	return nil
 }
 
-// CheckEndpoint returns a fault unless the value is an http or https URL with a host.
-func CheckEndpoint(section, key, value string) []Fault {
-	u, err := url.Parse(value)
-	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
-		return []Fault{NewFault(section, key, "must be an http or https URL")}
-	}
-	return nil
-}
-
 // CheckPresent returns a fault when the value is empty.
 func CheckPresent(section, key, value string) []Fault {
 	if value == "" {
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -59,16 +59,11 @@
 	Connections  int
 }
 
-// Platform names the table and the object store with their static credentials.
+// Platform names the platform's store.
 type Platform struct {
-	TableEndpoint  string
-	Table          string
-	ObjectEndpoint string
-	Bucket         string
-	Region         string
-	AccessKey      string
-	SecretKey      string
-	Timeout        time.Duration
+	// Address is the IP address and port of the store.
+	Address string
+	Timeout time.Duration
 }
 
 // Control configures the intervals of the control loops.
--- a/request/claim/row.go
+++ b/request/claim/row.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
-	"siskinspar.example/platform"
+	"siskinspar.example/store"
 )
 
 const (
@@ -25,7 +25,7 @@
 	// MaximumAnswerSize bounds an answer that is kept in bytes.
 	MaximumAnswerSize = 16 << 20
 	// InlineAnswerSize is the largest answer in bytes that is kept in the row itself.
-	InlineAnswerSize = 100 << 10
+	InlineAnswerSize = 32 << 10
 	// partitions is the number of table partitions over which claims are spread.
 	partitions = 64
 )
@@ -52,9 +52,10 @@
 }
 
 // Key returns the address of the claim of a caller's key for an intent.
-func Key(intent, key string) platform.Key {
+func Key(intent, key string) store.Key {
 	name := intent + "\n" + key
-	return platform.Key{Partition: fmt.Sprintf("claim-%02d", xxhash.Sum64String(name)%partitions), Sort: name}
+	sum := sha256.Sum256([]byte(name))
+	return store.Key{Partition: fmt.Sprintf("claim/%02d", xxhash.Sum64String(name)%partitions), Sort: hex.EncodeToString(sum[:])}
 }
 
 // Fingerprint identifies the content of a request.
@@ -66,23 +67,23 @@
 }
 
 // Write returns the write that stores the row at a revision after the expected one, 0 meaning that there is none.
-func (r Row) Write(k platform.Key, expected uint64) (platform.Write, error) {
+func (r Row) Write(k store.Key, expected uint64) (store.Write, error) {
 	value, err := json.Marshal(r)
 	if err != nil {
-		return platform.Write{}, eris.Wrap(err, "encode claim")
+		return store.Write{}, eris.Wrap(err, "encode claim")
 	}
-	w := platform.Write{Key: k, Revision: expected + 1, Value: value, Condition: platform.IfRevision, Expected: expected, Expires: r.Expires}
+	w := store.Write{Key: k, Revision: expected + 1, Value: value, Condition: store.IfRevision, Expected: expected}
 	if expected == 0 {
-		w.Condition = platform.IfAbsent
+		w.Condition = store.IfAbsent
 	}
 	return w, nil
 }
 
 // Read decodes a row of the table.
-func Read(row platform.Row) (Row, error) {
+func Read(row store.Row) (Row, error) {
 	var r Row
 	if err := json.Unmarshal(row.Value(), &r); err != nil {
-		return Row{}, platform.NewError("read claim", platform.CauseInvalid, err)
+		return Row{}, store.NewError("read claim", store.CauseInvalid, err)
 	}
 	return r, nil
 }
--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -9,9 +9,12 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -171,8 +174,10 @@
 	if len(body) > l.BodyBytes {
 		return n.refuse(http.StatusRequestEntityTooLarge)
 	}
-	x = &exchange{request: &Request{Request: r, Content: body, Arrived: arrived, IsLocal: isLocal(n.Conn)}, response: make(chan *Response, 1), isLast: r.Close}
-	return x, !r.Close
+	// The length of an HTTP/1.0 request is in doubt where it names a transfer encoding, so nothing behind it is read.
+	isLast := r.Close || !r.ProtoAtLeast(1, 1)
+	x = &exchange{request: &Request{Request: r, Content: body, Arrived: arrived, IsLocal: isLocal(n.Conn)}, response: make(chan *Response, 1), isLast: isLast}
+	return x, !isLast
 }
 
 // isLocal reports whether both ends of a connection have the same IP address.
@@ -235,14 +240,19 @@
 		return http.StatusBadRequest
 	case !strings.HasPrefix(r.RequestURI, "/") && r.RequestURI != "*":
 		return http.StatusBadRequest
-	case !isHTTP11 && len(r.TransferEncoding) > 0:
-		return http.StatusBadRequest
-	case r.Method == http.MethodConnect:
+	case r.Method == http.MethodConnect, !httpguts.ValidHostHeader(r.Host):
 		return http.StatusBadRequest
 	}
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) || slices.ContainsFunc(values, isInvalidValue) {
+			return http.StatusBadRequest
+		}
+	}
 	return 0
 }
 
+func isInvalidValue(v string) bool { return !httpguts.ValidHeaderFieldValue(v) }
+
 func headerSize(r *http.Request) int {
 	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n\r\n")
 	for name, values := range r.Header {
@@ -258,7 +268,7 @@
 	go func() {
 		// A failure to set the deadline shows as a failure of the read.
 		_ = n.SetReadDeadline(time.Time{})
-		if _, err := io.Copy(io.Discard, n.reader); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		if _, err := io.Copy(io.Discard, n.reader); !errors.Is(err, os.ErrDeadlineExceeded) {
 			n.cancel()
 		}
 	}()
--- /dev/null
+++ b/sidecar/ingress/server_test.go
@@ -0,0 +1,210 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinspar.example/sidecar/ingress"
+)
+
+// handler answers with the path and the body of the request, after the release of paths that begin with /wait.
+type handler struct {
+	release chan struct{}
+	started chan string
+	left    chan struct{}
+}
+
+func (h *handler) Serve(ctx context.Context, r *ingress.Request) *ingress.Response {
+	h.started <- r.RequestURI
+	if strings.HasPrefix(r.RequestURI, "/wait") {
+		select {
+		case <-h.release:
+		case <-ctx.Done():
+			close(h.left)
+			return &ingress.Response{IsAborted: true}
+		}
+	}
+	return &ingress.Response{Status: http.StatusOK, Header: http.Header{}, Body: []byte(r.Method + " " + r.RequestURI + " " + string(r.Content))}
+}
+
+func (h *handler) Refuse(status int) *ingress.Response {
+	return &ingress.Response{Status: status, Header: http.Header{}}
+}
+
+func start(t *testing.T) (*ingress.Server, *handler, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	h := &handler{release: make(chan struct{}), started: make(chan string, 64), left: make(chan struct{})}
+	s := &ingress.Server{
+		Address: address, Handler: h, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Limits: func() ingress.Limits {
+			return ingress.Limits{HeaderBytes: 2000, BodyBytes: 100, HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second}
+		},
+	}
+	assert.NilError(t, s.Run())
+	t.Cleanup(func() { s.Stop(time.Second) })
+	return s, h, address
+}
+
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	assert.NilError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
+	return c, bufio.NewReader(c)
+}
+
+func read(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	response, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return response, string(body)
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
+
+func TestPipelinedRequestsRunAtOnceAndAreAnsweredInOrder(t *testing.T) {
+	_, h, address := start(t)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, get("/wait")+get("/two")+get("/three"))
+	assert.NilError(t, err)
+	started := map[string]bool{<-h.started: true, <-h.started: true, <-h.started: true}
+	assert.Equal(t, len(started), 3, "all run before the first is answered")
+	close(h.release)
+	for _, path := range []string{"/wait", "/two", "/three"} {
+		_, body := read(t, r)
+		assert.Equal(t, body, "GET "+path+" ")
+	}
+}
+
+func TestMalformedRequestsAreRefusedAndNothingBehindThemRuns(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		status     int
+	}{
+		{"no request", "nonsense\r\n\r\n", http.StatusBadRequest},
+		{"two lengths", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", http.StatusBadRequest},
+		{"a length that is no number", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +1\r\n\r\na", http.StatusBadRequest},
+		{"unknown transfer encoding", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n", http.StatusBadRequest},
+		{"two transfer encodings", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n", http.StatusBadRequest},
+		{"a broken chunk", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", http.StatusBadRequest},
+		{"space before the colon", "GET / HTTP/1.1\r\nHost: a\r\nContent-Length : 1\r\n\r\n", http.StatusBadRequest},
+		{"no host", "GET / HTTP/1.1\r\n\r\n", http.StatusBadRequest},
+		{"two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", http.StatusBadRequest},
+		{"headers too large", "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 4000) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"body too large by its length", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n", http.StatusRequestEntityTooLarge},
+		{"body too large in chunks", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + strings.Repeat("x", 101) + "\r\n0\r\n\r\n", http.StatusRequestEntityTooLarge},
+		{"another protocol", "GET / HTTP/2.0\r\nHost: a\r\n\r\n", http.StatusHTTPVersionNotSupported},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, h, address := start(t)
+			conn, r := dial(t, address)
+			_, err := io.WriteString(conn, c.text+get("/smuggled"))
+			assert.NilError(t, err)
+			response, _ := read(t, r)
+			assert.Equal(t, response.StatusCode, c.status)
+			assert.Assert(t, response.Close)
+			_, err = r.ReadByte()
+			assert.ErrorIs(t, err, io.EOF)
+			assert.Equal(t, len(h.started), 0)
+		})
+	}
+}
+
+func TestBothALengthAndChunksAreReadAsChunksOnly(t *testing.T) {
+	_, _, address := start(t)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"+get("/b"))
+	assert.NilError(t, err)
+	_, body := read(t, r)
+	assert.Equal(t, body, "POST /a ab")
+	_, body = read(t, r)
+	assert.Equal(t, body, "GET /b ")
+}
+
+func TestNothingBehindARequestOfHTTP10Runs(t *testing.T) {
+	_, h, address := start(t)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, "POST /a HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n"+get("/smuggled"))
+	assert.NilError(t, err)
+	_, body := read(t, r)
+	assert.Equal(t, body, "POST /a ")
+	_, err = r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Equal(t, len(h.started), 1)
+}
+
+func TestAClientThatLeavesCancelsItsRequests(t *testing.T) {
+	for _, sent := range []string{get("/wait"), get("/wait") + "GET /unfinished"} {
+		_, h, address := start(t)
+		c, _ := dial(t, address)
+		_, err := io.WriteString(c, sent)
+		assert.NilError(t, err)
+		<-h.started
+		assert.NilError(t, c.Close())
+		select {
+		case <-h.left:
+		case <-time.After(10 * time.Second):
+			t.Fatalf("not cancelled after %q", sent)
+		}
+	}
+}
+
+func TestADrainAnswersWhatWasReadAndClosesTheConnection(t *testing.T) {
+	s, h, address := start(t)
+	busy, busyReader := dial(t, address)
+	_, err := io.WriteString(busy, get("/wait/1")+get("/wait/2"))
+	assert.NilError(t, err)
+	<-h.started
+	<-h.started
+	idle, idleReader := dial(t, address)
+	_, err = io.WriteString(idle, get("/"))
+	assert.NilError(t, err)
+	_, _ = read(t, idleReader)
+	s.Drain()
+	_, err = idleReader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF, "an unused connection ends")
+	close(h.release)
+	first, _ := read(t, busyReader)
+	assert.Assert(t, !first.Close, "an answer follows")
+	second, body := read(t, busyReader)
+	assert.Equal(t, body, "GET /wait/2 ")
+	assert.Assert(t, second.Close)
+	_, err = busyReader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	late, lateReader := dial(t, address)
+	_, err = io.WriteString(late, get("/late"))
+	assert.NilError(t, err)
+	response, _ := read(t, lateReader)
+	assert.Assert(t, response.Close, "a connection that comes during the drain is served once")
+}
+
+func TestLargeBodiesOfClientsThatAskAreAllowed(t *testing.T) {
+	_, _, address := start(t)
+	c, r := dial(t, address)
+	_, err := fmt.Fprintf(c, "POST /a HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	assert.NilError(t, err)
+	interim, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, interim.StatusCode, http.StatusContinue)
+	_, err = io.WriteString(c, "ab")
+	assert.NilError(t, err)
+	_, body := read(t, r)
+	assert.Equal(t, body, "POST /a ab")
+}
--- /dev/null
+++ b/sidecar/slot/controller_test.go
@@ -0,0 +1,150 @@
+package slot_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinspar.example/sidecar/slot"
+)
+
+var start = time.Unix(1000, 0)
+
+func job(priority int, target, deadline time.Duration) slot.Job {
+	return slot.Job{Class: "c", Priority: priority, Target: start.Add(target), Deadline: start.Add(deadline), Share: 1}
+}
+
+func newController(slots int) *slot.Controller {
+	c := slot.NewController()
+	c.SetSlots(slots)
+	return c
+}
+
+func TestAJobRunsWaitsOrIsRefused(t *testing.T) {
+	c := newController(1)
+	first, verdict, _ := c.Arrive(start, job(1, time.Second, 2*time.Second), false)
+	assert.Equal(t, verdict, slot.Run)
+	_, verdict, reason := c.Arrive(start, job(1, time.Second, 2*time.Second), false)
+	assert.Equal(t, verdict, slot.Refuse)
+	assert.Equal(t, reason, slot.ReasonBusy)
+	second, verdict, _ := c.Arrive(start, job(1, time.Second, 2*time.Second), true)
+	assert.Equal(t, verdict, slot.Wait)
+	notices := c.Finish(start.Add(100*time.Millisecond), first)
+	assert.Equal(t, len(notices), 1)
+	assert.Assert(t, notices[0].IsRun())
+	assert.Equal(t, notices[0].Ticket(), second)
+}
+
+func TestTheNextFreeSlotGoesToTheMostUsefulJob(t *testing.T) {
+	nested := job(5, time.Second, 2*time.Second)
+	nested.IsNested = true
+	for _, c := range []struct {
+		name        string
+		loser, wins slot.Job
+	}{
+		{"higher priority", job(2, time.Second, 2*time.Second), job(1, time.Second, 2*time.Second)},
+		{"earlier target", job(1, time.Second, 2*time.Second), job(1, 500*time.Millisecond, 2*time.Second)},
+		{"in time before late", job(1, 50*time.Millisecond, 2*time.Second), job(2, time.Second, 2*time.Second)},
+		{"nested call", job(0, time.Second, 2*time.Second), nested},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newController(1)
+			running, _, _ := s.Arrive(start, job(1, time.Second, 2*time.Second), false)
+			_, verdict, _ := s.Arrive(start, c.loser, true)
+			assert.Equal(t, verdict, slot.Wait)
+			winner, verdict, _ := s.Arrive(start, c.wins, true)
+			assert.Equal(t, verdict, slot.Wait)
+			notices := s.Release(start.Add(10*time.Millisecond), running)
+			assert.Equal(t, len(notices), 1)
+			assert.Equal(t, notices[0].Ticket(), winner)
+		})
+	}
+}
+
+func TestAHopelessJobIsRefusedOnArrival(t *testing.T) {
+	c := newController(1)
+	_, _, _ = c.Arrive(start, job(1, time.Second, 2*time.Second), false)
+	_, verdict, reason := c.Arrive(start, job(1, 50*time.Millisecond, 60*time.Millisecond), true)
+	assert.Equal(t, verdict, slot.Refuse)
+	assert.Equal(t, reason, slot.ReasonHopeless)
+}
+
+func TestAJobThatWaitedTooLongIsRefused(t *testing.T) {
+	c := newController(1)
+	_, _, _ = c.Arrive(start, job(1, time.Second, 2*time.Second), false)
+	waiting, verdict, _ := c.Arrive(start, job(1, time.Second, 2*time.Second), true)
+	assert.Equal(t, verdict, slot.Wait)
+	assert.Equal(t, len(c.Advance(start.Add(time.Second))), 0)
+	notices := c.Advance(start.Add(1950 * time.Millisecond))
+	assert.Equal(t, len(notices), 1)
+	assert.Equal(t, notices[0].Ticket(), waiting)
+	assert.Equal(t, notices[0].Reason(), slot.ReasonExpired)
+}
+
+func TestAHeldSlotLapsesUnlessItIsClaimed(t *testing.T) {
+	for _, isClaimed := range []bool{true, false} {
+		c := newController(1)
+		ticket, _, _ := c.Arrive(start, job(1, time.Second, 2*time.Second), true)
+		c.Hold(ticket, start.Add(100*time.Millisecond))
+		if isClaimed {
+			assert.Assert(t, c.Claim(start.Add(50*time.Millisecond), ticket))
+			assert.Assert(t, !c.Claim(start.Add(50*time.Millisecond), ticket), "a slot is claimed once")
+		}
+		c.Advance(start.Add(200 * time.Millisecond))
+		assert.Equal(t, c.Running() == 1, isClaimed)
+		assert.Assert(t, !c.Claim(start.Add(200*time.Millisecond), ticket))
+	}
+}
+
+func TestADrainRefusesWhatWaitsAndWhatComes(t *testing.T) {
+	c := newController(1)
+	running, _, _ := c.Arrive(start, job(1, time.Second, 2*time.Second), false)
+	_, _, _ = c.Arrive(start, job(1, time.Second, 2*time.Second), true)
+	notices := c.Drain()
+	assert.Equal(t, len(notices), 1)
+	assert.Equal(t, notices[0].Reason(), slot.ReasonDraining)
+	_, verdict, reason := c.Arrive(start, job(0, time.Second, 2*time.Second), true)
+	assert.Equal(t, verdict, slot.Refuse)
+	assert.Equal(t, reason, slot.ReasonDraining)
+	assert.Equal(t, c.Running(), 1)
+	assert.Equal(t, len(c.Finish(start.Add(time.Second), running)), 0)
+}
+
+// TestSlotsAreNeverExceeded plays random arrivals, ends, withdrawals and lapses.
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	const slots = 4
+	c := newController(slots)
+	now := start
+	running := map[slot.Ticket]bool{}
+	take := func(notices []slot.Notice) {
+		for _, n := range notices {
+			delete(running, n.Ticket())
+			if n.IsRun() {
+				running[n.Ticket()] = true
+			}
+		}
+	}
+	for range 20000 {
+		now = now.Add(time.Duration(r.IntN(20)) * time.Millisecond)
+		switch r.IntN(3) {
+		case 0:
+			j := slot.Job{Class: "c", Priority: r.IntN(3), Target: now.Add(300 * time.Millisecond), Deadline: now.Add(time.Second), Share: 1}
+			if ticket, verdict, _ := c.Arrive(now, j, r.IntN(2) == 0); verdict == slot.Run {
+				running[ticket] = true
+			}
+		case 1:
+			for ticket := range running {
+				delete(running, ticket)
+				take(c.Finish(now, ticket))
+				break
+			}
+		case 2:
+			take(c.Advance(now))
+		}
+		assert.Assert(t, len(running) <= slots)
+		assert.Equal(t, c.Running(), len(running))
+	}
+}
--- a/sidecar/upstream/conn.go
+++ b/sidecar/upstream/conn.go
@@ -94,7 +94,11 @@
 func (n *conn) readAnswer(x exchange) answer {
 	for range maximumStray + 1 {
 		a := n.readOne(x.request)
-		if a.err != nil || x.isAnsweredBy(a.response) {
+		if a.err != nil {
+			return a
+		}
+		if x.isAnsweredBy(a.response) {
+			a.isKept = a.isKept && n.reader.Buffered() == 0
 			return a
 		}
 		if !a.isKept {
@@ -121,8 +125,7 @@
 			return answer{err: eris.Errorf("the answer is larger than %d bytes", maximumBody)}
 		}
 		n.expires = time.Now().Add(idleTime(response))
-		isKept := !response.Close && n.reader.Buffered() == 0
-		return answer{response: response, body: body, isKept: isKept}
+		return answer{response: response, body: body, isKept: !response.Close}
 	}
 }
 
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -15,8 +15,8 @@
 	"siskinspar.example/daemon/operatorapi"
 	"siskinspar.example/daemon/settings"
 	"siskinspar.example/declaration"
-	platform "siskinspar.example/platform/standin"
 	"siskinspar.example/standin/backend"
+	"siskinspar.example/standin/platform"
 )
 
 // The credentials of a mesh on loopback.
@@ -24,8 +24,6 @@
 	PeerKey       = "loopback-peer-key"
 	OperatorToken = "loopback-operator-token"
 	BackendToken  = "loopback-backend-token"
-	accessKey     = "loopback"
-	secretKey     = "loopback-secret"
 )
 
 // Mesh is a platform stand-in with daemons; its exported fields are set before Start.
@@ -79,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	m.Platform.AccessKey = accessKey
+
 	m.platformAddress = l.Addr().String()
 	m.platformServer = &http.Server{Handler: m.Platform, ErrorLog: slog.NewLogLogger(m.Logger.Handler(), slog.LevelDebug)}
 	go func() { _ = m.platformServer.Serve(l) }()
@@ -162,7 +160,7 @@
 		Callers:   settings.Callers{Listen: n.callers},
 		Peers:     settings.Peers{Listen: n.peers, Seeds: n.mesh.seeds(), Key: PeerKey},
 		Operators: settings.Operators{Listen: n.operator, Token: OperatorToken, BackendToken: BackendToken},
-		Platform:  settings.Platform{TableEndpoint: "http://" + n.mesh.platformAddress, AccessKey: accessKey, SecretKey: secretKey},
+		Platform:  settings.Platform{Address: n.mesh.platformAddress},
 		Drain:     settings.Drain{Notice: 200 * time.Millisecond, Limit: 10 * time.Second},
 	}
 }
--- a/standin/mesh/partition_test.go
+++ b/standin/mesh/partition_test.go
@@ -12,8 +12,8 @@
 	"siskinspar.example/daemon/settings"
 	"siskinspar.example/declaration"
 	"siskinspar.example/membership"
-	"siskinspar.example/platform/standin"
 	"siskinspar.example/standin/mesh"
+	"siskinspar.example/standin/platform"
 	"siskinspar.example/versionlog"
 )
 
@@ -110,7 +110,7 @@
 	m.Network().Part(blindCentre)
 	assert.Equal(t, submit(t, m.Nodes()[1], "two").Version(), declaration.Version(2))
 	awaitVersion(t, 2, m.Nodes()[:2]...)
-	m.Platform.SetFault(standin.Fault{Mode: standin.ModeDown})
+	m.Platform.SetFault(platform.Fault{Mode: platform.ModeDown})
 	for _, n := range m.Nodes()[2:] {
 		assert.Equal(t, n.Daemon().Core().Configuration.Version(), declaration.Version(1))
 	}
--- a/platform/standin/fault.go
+++ b/standin/platform/fault.go
@@ -1,8 +1,9 @@
-package standin
+package platform
 
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -21,6 +22,12 @@
 	ModeThrottled Mode = "throttled"
 	// ModeLostAnswer lets a write take effect and drops the connection instead of answering.
 	ModeLostAnswer Mode = "lost-answer"
+	// ModeBusy refuses each call before any effect, with the status that says so.
+	ModeBusy Mode = "busy"
+	// ModeReset drops the connection before any effect.
+	ModeReset Mode = "reset"
+	// ModeLate drops the connection and performs the call after the delay.
+	ModeLate Mode = "late"
 	// ModeTorn answers object reads with half of the object.
 	ModeTorn Mode = "torn"
 )
@@ -30,6 +37,21 @@
 	Mode  Mode          `json:"mode"`
 	Delay time.Duration `json:"delay"`
 	Count int           `json:"count"`
+	// Callers are the IP addresses that the fault is for; none means all.
+	Callers []string `json:"callers,omitempty"`
+}
+
+// status returns the answer to a call that the fault refuses, or 0.
+func (f Fault) status() int {
+	switch f.Mode {
+	case ModeDown:
+		return http.StatusInternalServerError
+	case ModeBusy:
+		return http.StatusServiceUnavailable
+	case ModeThrottled:
+		return http.StatusTooManyRequests
+	}
+	return 0
 }
 
 type faults struct {
@@ -43,12 +65,14 @@
 	f.current = next
 }
 
-// take returns the fault for one call; lost answers apply to writes and torn objects to object reads only.
-func (f *faults) take(isWrite, isObjectRead bool) Fault {
+// take returns the fault for one call; lost and late answers apply to writes and torn objects to object reads only.
+func (f *faults) take(caller string, isWrite, isObjectRead bool) Fault {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.current
-	if now.Mode == ModeLostAnswer && !isWrite || now.Mode == ModeTorn && !isObjectRead {
+	isForWrites := now.Mode == ModeLostAnswer || now.Mode == ModeLate
+	isForOthers := len(now.Callers) > 0 && !slices.Contains(now.Callers, caller)
+	if isForWrites && !isWrite || now.Mode == ModeTorn && !isObjectRead || isForOthers {
 		return Fault{Mode: ModeNone}
 	}
 	if now.Count > 0 {
--- a/platform/error.go
+++ b/store/error.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"errors"
@@ -12,7 +12,7 @@
 const (
 	// CauseConflict means that a condition did not hold and nothing was written.
 	CauseConflict Cause = "conflict"
-	// CauseThrottled means that the platform refused the call for its rate and nothing was written.
+	// CauseThrottled means that the store refused the call for its rate and nothing was written.
 	CauseThrottled Cause = "throttled"
 	// CauseUnavailable means that a read got no answer.
 	CauseUnavailable Cause = "unavailable"
@@ -24,7 +24,7 @@
 	CauseInvalid Cause = "invalid"
 )
 
-// Error reports a failed platform call.
+// Error reports a failed call of the store.
 type Error struct {
 	operation string
 	cause     Cause
@@ -42,15 +42,15 @@
 // Error returns the operation, the cause and the underlying error.
 func (e *Error) Error() string {
 	if e.err == nil {
-		return fmt.Sprintf("platform %s: %s", e.operation, e.cause)
+		return fmt.Sprintf("store %s: %s", e.operation, e.cause)
 	}
-	return fmt.Sprintf("platform %s: %s: %v", e.operation, e.cause, e.err)
+	return fmt.Sprintf("store %s: %s: %v", e.operation, e.cause, e.err)
 }
 
 // Unwrap returns the underlying error.
 func (e *Error) Unwrap() error { return e.err }
 
-// IsCause reports whether an error is a platform error of the given cause.
+// IsCause reports whether an error is a store error of the given cause.
 func IsCause(err error, c Cause) bool {
 	var e *Error
 	return errors.As(err, &e) && e.cause == c
--- a/platform/table.go
+++ b/store/table.go
@@ -1,15 +1,14 @@
-package platform
+package store
 
 import (
 	"context"
-	"time"
 )
 
 // MaximumWrites bounds the writes of one transaction.
 const MaximumWrites = 100
 
 // MaximumValueSize bounds the value of one row in bytes.
-const MaximumValueSize = 256 << 10
+const MaximumValueSize = 60 << 10
 
 // Key addresses a row by partition and sort key.
 type Key struct {
@@ -59,11 +58,9 @@
 	Condition Condition
 	Expected  uint64
 	IsDelete  bool
-	// Expires is when the platform may delete the row; the zero time keeps it.
-	Expires time.Time
 }
 
-// Table is the platform's transactional table; every read is strongly consistent.
+// Table is the transactional table; every read is strongly consistent.
 //
 // Errors are *Error values.
 type Table interface {
@@ -75,7 +72,7 @@
 	Transact(ctx context.Context, writes []Write) error
 }
 
-// Objects is the platform's object store.
+// Objects is the object store.
 //
 // Errors are *Error values.
 type Objects interface {
--- a/versionlog/record/log.go
+++ b/versionlog/record/log.go
@@ -8,7 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"siskinspar.example/declaration"
-	"siskinspar.example/platform"
+	"siskinspar.example/store"
 	"siskinspar.example/versionlog"
 )
 
@@ -43,18 +43,18 @@
 
 // Log reads and extends the version log; its fields are set before use.
 type Log struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   store.Table
+	Objects store.Objects
 }
 
-var headKey = platform.Key{Partition: partitionHead, Sort: "head"}
+var headKey = store.Key{Partition: partitionHead, Sort: "head"}
 
-func changeKey(v declaration.Version) platform.Key {
-	return platform.Key{Partition: partitionChange, Sort: sortOf(v)}
+func changeKey(v declaration.Version) store.Key {
+	return store.Key{Partition: partitionChange, Sort: sortOf(v)}
 }
 
-func requestKey(id versionlog.RequestID) platform.Key {
-	return platform.Key{Partition: partitionRequest, Sort: string(id)}
+func requestKey(id versionlog.RequestID) store.Key {
+	return store.Key{Partition: partitionRequest, Sort: string(id)}
 }
 
 func sortOf(v declaration.Version) string { return fmt.Sprintf("%020d", uint64(v)) }
@@ -67,10 +67,10 @@
 	}
 	var h Head
 	if err := json.Unmarshal(row.Value(), &h); err != nil {
-		return Head{}, platform.NewError("read head", platform.CauseInvalid, err)
+		return Head{}, store.NewError("read head", store.CauseInvalid, err)
 	}
 	if uint64(h.Version) != row.Revision() {
-		return Head{}, platform.NewError("read head", platform.CauseInvalid, eris.New("revision differs from version"))
+		return Head{}, store.NewError("read head", store.CauseInvalid, eris.New("revision differs from version"))
 	}
 	return h, nil
 }
@@ -101,10 +101,10 @@
 	return changes, nil
 }
 
-func (l *Log) decodeChange(ctx context.Context, row platform.Row) (versionlog.Change, error) {
+func (l *Log) decodeChange(ctx context.Context, row store.Row) (versionlog.Change, error) {
 	var r changeRow
 	if err := json.Unmarshal(row.Value(), &r); err != nil {
-		return versionlog.Change{}, platform.NewError("read change", platform.CauseInvalid, err)
+		return versionlog.Change{}, store.NewError("read change", store.CauseInvalid, err)
 	}
 	c := versionlog.Change{}
 	switch {
@@ -116,18 +116,18 @@
 			return c, err
 		}
 		if err := Decode(data, &c); err != nil {
-			return c, platform.NewError("read change", platform.CauseInvalid, err)
+			return c, store.NewError("read change", store.CauseInvalid, err)
 		}
 	}
 	if uint64(c.Version) != row.Revision() {
-		return c, platform.NewError("read change", platform.CauseInvalid, eris.New("row holds another version"))
+		return c, store.NewError("read change", store.CauseInvalid, eris.New("row holds another version"))
 	}
 	return c, nil
 }
 
 // Commit appends a change if the head still precedes it.
 //
-// A *platform.Error with CauseConflict means that another change came first,
+// A *store.Error with CauseConflict means that another change came first,
 // one with CauseUnknown that FindRequest has to tell.
 func (l *Log) Commit(ctx context.Context, before Head, c versionlog.Change) (Head, error) {
 	body, err := l.encodeChange(ctx, c)
@@ -159,28 +159,28 @@
 	}
 	name := fmt.Sprintf("change/%s-%s", sortOf(c.Version), c.Digest)
 	if err := l.Objects.Put(ctx, name, packed); err != nil {
-		return nil, platform.NewError("put change", platform.CauseUnavailable, err)
+		return nil, store.NewError("put change", store.CauseUnavailable, err)
 	}
 	body, err = json.Marshal(changeRow{Object: name})
 	return body, eris.Wrap(err, "encode change")
 }
 
-func commitWrites(before, next Head, c versionlog.Change, body []byte) ([]platform.Write, error) {
+func commitWrites(before, next Head, c versionlog.Change, body []byte) ([]store.Write, error) {
 	head, err := json.Marshal(next)
 	if err != nil {
 		return nil, eris.Wrap(err, "encode head")
 	}
-	headWrite := platform.Write{Key: headKey, Revision: uint64(next.Version), Value: head, Condition: platform.IfRevision, Expected: uint64(before.Version)}
+	headWrite := store.Write{Key: headKey, Revision: uint64(next.Version), Value: head, Condition: store.IfRevision, Expected: uint64(before.Version)}
 	if before.Version == 0 {
-		headWrite.Condition = platform.IfAbsent
+		headWrite.Condition = store.IfAbsent
 	}
-	writes := []platform.Write{
+	writes := []store.Write{
 		headWrite,
-		{Key: changeKey(c.Version), Revision: uint64(c.Version), Value: body, Condition: platform.IfAbsent},
+		{Key: changeKey(c.Version), Revision: uint64(c.Version), Value: body, Condition: store.IfAbsent},
 	}
 	for _, a := range c.Accepted {
-		writes = append(writes, platform.Write{
-			Key: requestKey(a.RequestID), Revision: uint64(c.Version), Value: []byte(a.Operator), Condition: platform.IfAbsent,
+		writes = append(writes, store.Write{
+			Key: requestKey(a.RequestID), Revision: uint64(c.Version), Value: []byte(a.Operator), Condition: store.IfAbsent,
 		})
 	}
 	return writes, nil
--- a/versionlog/record/record_test.go
+++ b/versionlog/record/record_test.go
@@ -4,28 +4,29 @@
 	"context"
 	"fmt"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"siskinspar.example/declaration"
-	"siskinspar.example/platform"
-	"siskinspar.example/platform/dynamo"
-	"siskinspar.example/platform/objects"
-	"siskinspar.example/platform/standin"
+	"siskinspar.example/platform/rowstore"
+	"siskinspar.example/standin/platform"
+	"siskinspar.example/store"
 	"siskinspar.example/versionlog"
 	"siskinspar.example/versionlog/record"
 )
 
-func newLog(t *testing.T) (*record.Log, *standin.Server) {
+func newLog(t *testing.T) (*record.Log, *platform.Server) {
 	t.Helper()
-	s := &standin.Server{}
+	s := &platform.Server{}
 	h := httptest.NewServer(s)
 	t.Cleanup(h.Close)
+	client := rowstore.NewClient(strings.TrimPrefix(h.URL, "http://"))
 	return &record.Log{
-		Table:   dynamo.New(dynamo.Options{Endpoint: h.URL, Region: "local", AccessKey: "a", SecretKey: "b", Table: "t", Client: h.Client()}),
-		Objects: objects.New(objects.Options{Endpoint: h.URL, Region: "local", AccessKey: "a", SecretKey: "b", Bucket: "b", Client: h.Client()}),
+		Table:   rowstore.Table{Client: client},
+		Objects: rowstore.Objects{Client: client},
 	}, s
 }
 
@@ -69,15 +70,15 @@
 func TestCommitUnderFaults(t *testing.T) {
 	for _, c := range []struct {
 		name    string
-		fault   standin.Fault
-		cause   platform.Cause
+		fault   platform.Fault
+		cause   store.Cause
 		isKept  bool
 		hasHead bool
 	}{
-		{"the platform is down", standin.Fault{Mode: standin.ModeDown}, platform.CauseUnknown, false, false},
-		{"the platform is at its rate", standin.Fault{Mode: standin.ModeThrottled}, platform.CauseThrottled, false, false},
-		{"the answer is lost after the effect", standin.Fault{Mode: standin.ModeLostAnswer, Count: 1}, platform.CauseUnknown, true, false},
-		{"another daemon came first", standin.Fault{}, platform.CauseConflict, false, true},
+		{"the platform is down", platform.Fault{Mode: platform.ModeDown}, store.CauseUnknown, false, false},
+		{"the platform is at its rate", platform.Fault{Mode: platform.ModeThrottled}, store.CauseThrottled, false, false},
+		{"the answer is lost after the effect", platform.Fault{Mode: platform.ModeLostAnswer, Count: 1}, store.CauseUnknown, true, false},
+		{"another daemon came first", platform.Fault{}, store.CauseConflict, false, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			l, s := newLog(t)
@@ -87,8 +88,8 @@
 			}
 			s.SetFault(c.fault)
 			_, _, err := extend(t, l, versionlog.State{}, record.Head{}, 8)
-			assert.Assert(t, platform.IsCause(err, c.cause), "%v", err)
-			s.SetFault(standin.Fault{})
+			assert.Assert(t, store.IsCause(err, c.cause), "%v", err)
+			s.SetFault(platform.Fault{})
 			found, err := l.FindRequest(t.Context(), "request-s0")
 			assert.NilError(t, err)
 			assert.Equal(t, found == 1, c.isKept || c.hasHead)
@@ -108,10 +109,10 @@
 	change, _ := versionlog.Plan(state, []versionlog.Submission{{RequestID: "bulk", Proposals: proposals}}, time.Unix(0, 0))
 	_, err := l.Commit(t.Context(), head, change)
 	assert.NilError(t, err)
-	s.SetFault(standin.Fault{Mode: standin.ModeTorn})
+	s.SetFault(platform.Fault{Mode: platform.ModeTorn})
 	_, err = l.Load(t.Context(), 1)
-	assert.Assert(t, platform.IsCause(err, platform.CauseInvalid), "%v", err)
-	s.SetFault(standin.Fault{})
+	assert.Assert(t, store.IsCause(err, store.CauseInvalid), "%v", err)
+	s.SetFault(platform.Fault{})
 	loaded, err := l.Load(t.Context(), 1)
 	assert.NilError(t, err)
 	assert.Equal(t, loaded.Set().Len(), 2000)
--- a/versionlog/record/snapshot.go
+++ b/versionlog/record/snapshot.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"siskinspar.example/declaration"
-	"siskinspar.example/platform"
+	"siskinspar.example/store"
 	"siskinspar.example/versionlog"
 )
 
@@ -62,7 +62,7 @@
 		if err == nil {
 			return s, nil
 		}
-		if platform.IsCause(err, platform.CauseUnavailable) {
+		if store.IsCause(err, store.CauseUnavailable) {
 			return versionlog.State{}, err
 		}
 		v -= SnapshotInterval
@@ -77,7 +77,7 @@
 	}
 	var m versionlog.Image
 	if err := Decode(data, &m); err != nil {
-		return versionlog.State{}, platform.NewError("read snapshot", platform.CauseInvalid, err)
+		return versionlog.State{}, store.NewError("read snapshot", store.CauseInvalid, err)
 	}
 	s, err := versionlog.Restore(m)
 	if err != nil {
@@ -118,11 +118,11 @@
 	return trimmed, nil
 }
 
-func (l *Log) trimRow(ctx context.Context, row platform.Row) error {
-	writes := []platform.Write{{Key: row.Key(), IsDelete: true}}
+func (l *Log) trimRow(ctx context.Context, row store.Row) error {
+	writes := []store.Write{{Key: row.Key(), IsDelete: true}}
 	if c, err := l.decodeChange(ctx, row); err == nil {
 		for _, a := range c.Accepted {
-			writes = append(writes, platform.Write{Key: requestKey(a.RequestID), IsDelete: true})
+			writes = append(writes, store.Write{Key: requestKey(a.RequestID), IsDelete: true})
 		}
 	}
 	return l.Table.Transact(ctx, writes)
