--- a/cmd/command/sidecar.go
+++ b/cmd/command/sidecar.go
@@ -3,10 +3,15 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"strconv"
+	"syscall"
 
+	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
 	"siskinspar.example/cmd/option"
@@ -14,7 +19,9 @@
 	"siskinspar.example/platform/nodefile"
 	"siskinspar.example/platform/rowstore"
 	"siskinspar.example/sidecar"
+	"siskinspar.example/sidecar/logbook"
 	"siskinspar.example/sidecar/owner"
+	"siskinspar.example/sidecar/settings"
 )
 
 // memoryShare is the share of the memory of the process at which the collector works harder.
@@ -22,31 +29,61 @@
 
 func newSidecar() *cli.Command {
 	return &cli.Command{
-		Name:   "sidecar",
-		Usage:  "run the daemon on a platform that keeps the configuration",
-		Flags:  []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "`FILE` with the platform's settings", Sources: cli.EnvVars(nodefile.Variable), Required: true}},
+		Name:  "sidecar",
+		Usage: "run the daemon on a platform that keeps the configuration",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "`FILE` with the platform's settings", Sources: cli.EnvVars(nodefile.Variable), Required: true},
+			&cli.IntFlag{Name: "metrics-port", Usage: "`PORT` at which metrics are served, 0 for none"},
+		},
 		Action: runSidecar,
 	}
 }
 
 func runSidecar(ctx context.Context, c *cli.Command) error {
-	s, err := nodefile.Read(c.String("settings"))
+	path := c.String("settings")
+	s, err := nodefile.Read(path)
 	if err != nil {
 		return option.Exit(option.ExitInvalid, err)
 	}
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
-	logger := slog.New(slog.NewTextHandler(os.Stdout, nil))
-	d := &sidecar.Sidecar{Settings: s, Logger: logger, Platform: sidecar.Platform{
+	if s.Metrics, err = metricsAddress(s.Clients, c.Int("metrics-port")); err != nil {
+		return option.Exit(option.ExitInvalid, err)
+	}
+	book := &logbook.Book{Output: os.Stdout}
+	book.Run()
+	defer book.Stop()
+	w := &settingsWatch{path: path, logger: book.Logger(), hangup: make(chan os.Signal, 1), changed: make(chan *settings.Settings)}
+	signal.Notify(w.hangup, syscall.SIGHUP)
+	defer signal.Stop(w.hangup)
+	go w.run(ctx)
+	d := &sidecar.Sidecar{Settings: s, Logger: w.logger, Platform: newPlatform(s.Store), Reloads: w.changed}
+	return d.Run(ctx)
+}
+
+// newPlatform is the one place where the product meets its adapter.
+func newPlatform(store string) sidecar.Platform {
+	return sidecar.Platform{
 		Headers:            dialect.Headers{},
 		Configuration:      dialect.Configurations{},
-		Store:              rowstore.NewClient(s.Store),
+		Store:              rowstore.NewClient(store),
 		ConfigurationTable: dialect.ConfigurationTable,
 		ConfigurationKey:   dialect.ConfigurationKey,
 		NewAnnouncements: func(o *owner.Owner, l *slog.Logger) http.Handler {
 			return &dialect.Announcements{Owner: o, Logger: l}
 		},
-	}}
-	return d.Run(ctx)
+	}
+}
+
+// metricsAddress returns the address for metrics on the instance whose address for clients is given.
+func metricsAddress(clients string, port int) (string, error) {
+	if port == 0 {
+		return "", nil
+	}
+	host, _, err := net.SplitHostPort(clients)
+	if err != nil {
+		return "", eris.Wrap(err, "address for metrics")
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port)), nil
 }
--- a/sidecar/settings/settings.go
+++ b/sidecar/settings/settings.go
@@ -64,3 +64,18 @@
 	}
 	return faults
 }
+
+// NeedsRestart returns the names of the settings that differ and can't change while the daemon runs.
+func (s *Settings) NeedsRestart(next *Settings) []string {
+	var names []string
+	for _, c := range []struct{ name, now, next string }{
+		{"instance", s.Instance, next.Instance}, {"data centre", s.DataCentre, next.DataCentre},
+		{"service", s.Service, next.Service}, {"clients", s.Clients, next.Clients}, {"daemons", s.Daemons, next.Daemons},
+		{"readiness", s.Readiness, next.Readiness}, {"announcements", s.Announcements, next.Announcements}, {"store", s.Store, next.Store},
+	} {
+		if c.now != c.next {
+			names = append(names, c.name)
+		}
+	}
+	return names
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -55,6 +55,8 @@
 	Settings *settings.Settings
 	Platform Platform
 	Logger   *slog.Logger
+	// Reloads brings changed settings while the daemon runs.
+	Reloads <-chan *settings.Settings
 
 	incarnation   int64
 	registry      metrics.Registry
@@ -90,9 +92,15 @@
 	s.startFollowers(following)
 	go s.register(following)
 	s.Logger.Info("daemon: started", "instance", s.Settings.Instance, "data-centre", s.Settings.DataCentre, "service", s.Settings.Service, "incarnation", s.incarnation)
-	<-ctx.Done()
-	s.stop()
-	return nil
+	for {
+		select {
+		case <-ctx.Done():
+			s.stop()
+			return nil
+		case next := <-s.Reloads:
+			s.reload(next)
+		}
+	}
 }
 
 func (s *Sidecar) startOwner() {
@@ -120,20 +128,34 @@
 		Address: s.Settings.Daemons, Members: s.members, Pool: s.pool, Self: s, Configuration: s.configuration, Logger: s.Logger,
 	}
 	s.configuration.OnChange = s.prober.Announce
-	s.seed()
+	s.addSeeds(s.Settings.Seeds)
 	s.prober.Run(ctx)
 }
 
-// seed adds the instances of the settings; all daemons use the same port.
-func (s *Sidecar) seed() {
+// addSeeds adds the instances of the settings, whose daemons use the same port, and returns how many were new.
+func (s *Sidecar) addSeeds(seeds []netip.Addr) int {
 	own, err := netip.ParseAddrPort(s.Settings.Daemons)
 	if err != nil {
 		s.Logger.Error("daemon: seeds are not used", "error", err)
-		return
+		return 0
+	}
+	added := 0
+	for _, a := range seeds {
+		address := netip.AddrPortFrom(a, own.Port()).String()
+		if address != s.Settings.Daemons && s.members.Add(address) {
+			added++
+		}
 	}
-	for _, a := range s.Settings.Seeds {
-		s.members.Add(netip.AddrPortFrom(a, own.Port()).String())
+	return added
+}
+
+// reload takes in settings that may change while the daemon runs, and names those that need a restart.
+func (s *Sidecar) reload(next *settings.Settings) {
+	if restart := s.Settings.NeedsRestart(next); len(restart) > 0 {
+		s.Logger.Warn("daemon: settings take effect at the next start", "settings", restart)
 	}
+	changed := s.addSeeds(next.Seeds)
+	s.Logger.Info("daemon: settings reloaded", "new-daemons", changed)
 }
 
 func (s *Sidecar) startListeners() error {
