--- a/sidecar/upstream/client.go
+++ b/sidecar/upstream/client.go
@@ -23,6 +23,8 @@
 	dialTimeout = time.Second
 	// writeTimeout bounds the sending of a request.
 	writeTimeout = 2 * time.Second
+	// writeMoment is how long the end of a write is waited for once the answer is there.
+	writeMoment = 5 * time.Millisecond
 )
 
 // Outcome tells what is known of a request that was to be sent.
@@ -98,7 +100,7 @@
 			isWritten = true
 			written = nil
 		case a := <-n.answers:
-			a.isKept = a.isKept && isWritten
+			a.isKept = a.isKept && (isWritten || hasEnded(written))
 			return a, nil
 		case <-n.broken:
 			return n.lastAnswer(eris.New("the connection ended"))
@@ -110,6 +112,18 @@
 	}
 }
 
+// hasEnded reports whether a write has ended well, or does so within a moment: its end may be seen after the answer.
+func hasEnded(written <-chan error) bool {
+	timer := time.NewTimer(writeMoment)
+	defer timer.Stop()
+	select {
+	case err := <-written:
+		return err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 // lastAnswer returns the answer that came before the connection ended, or the error.
 func (n *conn) lastAnswer(err error) (answer, error) {
 	select {
