--- a/sidecar/upstream/client_test.go
+++ b/sidecar/upstream/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -182,16 +183,19 @@
 }
 
 func TestTheBoundOfConnectionsIsKept(t *testing.T) {
-	address, connections := serve(t, func(int) []string { return []string{""} })
-	client := &upstream.Client{Address: address, Connections: 1, IDHeader: "Request-Id"}
+	received := make(chan struct{})
+	h := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(received)
+		<-r.Context().Done()
+	}))
+	defer h.Close()
+	client := &upstream.Client{Address: strings.TrimPrefix(h.URL, "http://"), Connections: 1, IDHeader: "Request-Id"}
 	ctx, cancel := context.WithCancel(context.Background())
 	first := make(chan upstream.Result, 1)
 	go func() {
 		first <- client.Send(ctx, message.Request{Method: http.MethodGet, Target: "/", Host: "a"}, http.Header{}, time.Minute)
 	}()
-	for connections.Load() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	<-received
 	assert.Equal(t, send(client, "two").Outcome, upstream.NotSent)
 	cancel()
 	assert.Equal(t, (<-first).Outcome, upstream.Lost)
