test: keep the server from reading on before the answer is taken

Cause: the test of an early answer hung once in 40 runs: the server had read the whole request before the client looked, so keeping the connection was right. Now it reads on only afterwards.

--- a/sidecar/upstream/client_test.go
+++ b/sidecar/upstream/client_test.go
@@ -161,6 +161,7 @@
 	assert.NilError(t, err)
 	defer l.Close()
 	closed := make(chan error, 1)
+	answered := make(chan struct{})
 	go func() {
 		c, err := l.Accept()
 		if err != nil {
@@ -171,12 +172,14 @@
 			return
 		}
 		_, _ = io.WriteString(c, "HTTP/1.1 413 Too Large\r\nRequest-Id: one\r\nContent-Length: 0\r\n\r\n")
+		<-answered
 		_, err = io.Copy(io.Discard, c)
 		closed <- err
 	}()
 	client := &upstream.Client{Address: l.Addr().String(), IDHeader: "Request-Id"}
 	q := message.Request{ID: "one", Method: http.MethodPost, Target: "/", Host: "a", Body: make([]byte, 32<<20)}
 	result := client.Send(context.Background(), q, http.Header{"Request-Id": {"one"}}, 5*time.Second)
+	close(answered)
 	assert.Equal(t, result.Outcome, upstream.Answered, "%v", result.Err)
 	assert.Equal(t, result.Answer.Status, http.StatusRequestEntityTooLarge)
 	<-closed
