--- a/cmd/command/root.go
+++ b/cmd/command/root.go
@@ -38,6 +38,7 @@
 		Commands: []*cli.Command{
 			newDaemon(),
 			newSidecar(),
+			newSoak(),
 			trial.NewStandin(),
 			newValidate(),
 			newPlan(),
--- /dev/null
+++ b/cmd/command/soak.go
@@ -0,0 +1,54 @@
+package command
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"siskinspar.example/cmd/option"
+	"siskinspar.example/cmd/soak"
+)
+
+func newSoak() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run sidecar processes on loopback under random faults and check what they promise",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Usage: "first `SEED` of the faults", Value: 1},
+			&cli.IntFlag{Name: "seeds", Usage: "`NUMBER` of seeds, one after the other", Value: 1},
+			&cli.IntFlag{Name: "instances", Usage: "`NUMBER` of daemon processes", Value: 5},
+			&cli.DurationFlag{Name: "span", Usage: "`TIME` of the faults of one seed", Value: 15 * time.Second},
+			&cli.StringFlag{Name: "directory", Usage: "`DIRECTORY` for settings and logs, a new one if empty"},
+		},
+		Action: runSoak,
+	}
+}
+
+func runSoak(ctx context.Context, c *cli.Command) error {
+	binary, err := soak.Binary()
+	if err != nil {
+		return err
+	}
+	if n := c.Int("instances"); n < 2 || n > 200 {
+		return option.Exit(option.ExitInvalid, eris.Errorf("%d instances: 2 to 200 are possible", n))
+	}
+	for k := range c.Int("seeds") {
+		directory := c.String("directory")
+		if directory == "" {
+			if directory, err = os.MkdirTemp("", "siskinspar-soak-"); err != nil {
+				return eris.Wrap(err, "make a directory for the soak")
+			}
+		}
+		s := &soak.Soak{
+			Seed: c.Uint64("seed") + uint64(k), Span: c.Duration("span"), Instances: c.Int("instances"),
+			Binary: binary, Directory: directory, Out: c.Root().Writer,
+		}
+		if err := s.Run(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/soak/client.go
@@ -0,0 +1,75 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// client sends requests to the daemon of one instance, over kept connections.
+type client struct {
+	instance *instance
+	ledger   *Ledger
+	http     *http.Client
+	random   *rand.Rand
+	number   int
+	name     string
+}
+
+func newClient(i *instance, l *Ledger, name string, seed uint64) *client {
+	t := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 4 * time.Second}
+	return &client{instance: i, ledger: l, name: name, random: rand.New(rand.NewPCG(seed, 7)), http: &http.Client{Transport: t, Timeout: clientTimeout + time.Second}}
+}
+
+// run sends requests until the context ends.
+func (c *client) run(ctx context.Context) {
+	defer c.http.CloseIdleConnections()
+	for ctx.Err() == nil {
+		c.send()
+		t := time.NewTimer(time.Duration(c.random.IntN(int(2 * clientPause))))
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (c *client) send() {
+	c.number++
+	s := sent{id: fmt.Sprintf("%s-%d", c.name, c.number), service: c.instance.service, method: http.MethodGet, isRepeatable: true}
+	s.target = fmt.Sprintf("/read/%d", c.number)
+	if c.random.IntN(2) == 0 {
+		s.method = http.MethodPost
+		s.isRepeatable = false
+		s.target = fmt.Sprintf("/write/%d", c.number)
+		s.body = strings.Repeat("x", c.random.IntN(3000))
+	}
+	c.ledger.noteSent(s)
+	r, err := http.NewRequest(s.method, "http://"+c.instance.address(portClients)+s.target, strings.NewReader(s.body))
+	if err != nil {
+		c.ledger.noteLost()
+		return
+	}
+	// Without a way to read the body again, the library sends a request once only.
+	r.GetBody = nil
+	r.Host = hostName
+	r.Header.Set("Request-Id", s.id)
+	r.Header.Set("Deadline-Ms", fmt.Sprint(clientTimeout.Milliseconds()))
+	response, err := c.http.Do(r)
+	if err != nil {
+		c.ledger.noteLost()
+		return
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		c.ledger.noteLost()
+		return
+	}
+	c.ledger.noteAnswer(s.id, response.StatusCode, response.Header.Get("Server-Stamp"), string(body))
+}
--- /dev/null
+++ b/sidecar/placement/placement_test.go
@@ -0,0 +1,118 @@
+package placement_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinspar.example/sidecar/member"
+	"siskinspar.example/sidecar/placement"
+)
+
+var now = time.Unix(1000, 0)
+
+func newPlacer() *placement.Placer {
+	return &placement.Placer{Address: "own", DataCentre: "a", Random: rand.New(rand.NewPCG(1, 1))}
+}
+
+func candidate(address, centre string, running int) member.Candidate {
+	return member.Candidate{Address: address, DataCentre: centre, Server: member.Server{ID: address}, Load: member.Load{Running: running, Slots: 8}}
+}
+
+func TestAFreeServerIsPicked(t *testing.T) {
+	failing := candidate("near", "a", 0)
+	failing.Load.Failing = 0.5
+	silent := candidate("near", "a", 0)
+	silent.IsSilent = true
+	for _, c := range []struct {
+		name   string
+		from   []member.Candidate
+		tried  []string
+		isBulk bool
+		picked string
+	}{
+		{"the own one first", []member.Candidate{candidate("own", "a", 0), candidate("near", "a", 0)}, nil, false, "own"},
+		{"the own data centre next", []member.Candidate{candidate("far", "b", 0), candidate("near", "a", 0)}, nil, false, "near"},
+		{"an empty one far before a nearly full one near", []member.Candidate{candidate("far", "b", 0), candidate("near", "a", 7)}, nil, false, "far"},
+		{"large answers stay near", []member.Candidate{candidate("far", "b", 0), candidate("near", "a", 7)}, nil, true, "near"},
+		{"never a full one", []member.Candidate{candidate("near", "a", 8)}, nil, false, ""},
+		{"never one that was tried", []member.Candidate{candidate("near", "a", 0)}, []string{"near"}, false, ""},
+		{"not one that fails", []member.Candidate{failing, candidate("far", "b", 0)}, nil, false, "far"},
+		{"one that fails rather than none", []member.Candidate{failing}, nil, false, "near"},
+		{"not a silent one", []member.Candidate{silent, candidate("far", "b", 0)}, nil, false, "far"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			found, ok := newPlacer().Free(now, c.from, c.tried, c.isBulk)
+			assert.Equal(t, ok, c.picked != "")
+			assert.Equal(t, found.Address, c.picked)
+		})
+	}
+}
+
+func TestAServerThatFailsIsTriedAgainLater(t *testing.T) {
+	p := newPlacer()
+	for range 5 {
+		p.NoteFailure(now, "near")
+	}
+	from := []member.Candidate{candidate("near", "a", 0), candidate("far", "b", 0)}
+	found, _ := p.Free(now, from, nil, false)
+	assert.Equal(t, found.Address, "far")
+	found, _ = p.Free(now.Add(5*time.Second), from, nil, false)
+	assert.Equal(t, found.Address, "near")
+}
+
+func TestASlowServerIsPickedAfterAFastOne(t *testing.T) {
+	p := newPlacer()
+	for range 20 {
+		p.NoteAnswer("near", 300*time.Millisecond, 100*time.Millisecond)
+	}
+	found, _ := p.Free(now, []member.Candidate{candidate("near", "a", 0), candidate("far", "b", 0)}, nil, false)
+	assert.Equal(t, found.Address, "far")
+}
+
+// TestAllDaemonsTogetherKeepTheAllowance plays a failing service: every request asks for as many repeats as it can get.
+func TestAllDaemonsTogetherKeepTheAllowance(t *testing.T) {
+	allowance := placement.Allowance{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
+	for _, c := range []struct{ daemons, perSecond int }{{3, 5}, {11, 20}, {90, 12}} {
+		budgets := make([]placement.Budget, c.daemons)
+		for i := range budgets {
+			budgets[i].Allowance = allowance
+		}
+		spent := 0
+		at := now
+		// One whole window after a long quiet time, when the credit is full.
+		for i := range budgets {
+			budgets[i].Spend(at.Add(-time.Hour), c.daemons)
+		}
+		steps := c.perSecond * 10
+		for range steps {
+			at = at.Add(time.Second / time.Duration(c.perSecond))
+			for i := range budgets {
+				budgets[i].Earn(at, c.daemons)
+				for budgets[i].Spend(at, c.daemons) {
+					spent++
+				}
+			}
+		}
+		requests := steps * c.daemons
+		allowed := allowance.Ratio*float64(requests) + allowance.Slack
+		// Calls of repeated runs count as repeats too, so repeats of requests may use no more than two thirds.
+		assert.Assert(t, float64(spent) <= 0.67*allowed || spent <= c.daemons, "%d daemons: %d of %v", c.daemons, spent, allowed)
+		assert.Assert(t, spent > 0)
+	}
+}
+
+func TestRefusedClientsComeBackSpreadAndInTime(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	for _, left := range []time.Duration{3 * time.Second, time.Second, 20 * time.Second} {
+		shortest, longest := time.Hour, time.Duration(0)
+		for range 1000 {
+			pause := placement.Comeback(left, r)
+			shortest, longest = min(shortest, pause), max(longest, pause)
+		}
+		assert.Assert(t, longest <= left/3, "clients honour a third of the time left")
+		assert.Assert(t, longest-shortest > longest/4, "the returns are spread")
+	}
+}
