feat: stop requests that crash backend servers, and log failed calls

Cause: the quarantine was wired but nothing told a crash, and a failed call left no line at its owner.

The owner logs each call that did not run to its end, with the request's ID; a regained daemon is logged.

Tests: crash and broken connection told apart; stopped everywhere; cleared.

--- a/request/quarantine/registry.go
+++ b/request/quarantine/registry.go
@@ -62,7 +62,12 @@
 }
 
 // Registry is the view that one daemon has of crashes; the shell serialises its calls.
-type Registry struct{ records map[Fingerprint]*record }
+type Registry struct {
+	// Crashes is the number of crashes after which any request is stopped; 0 tells repeatable requests from others.
+	Crashes int
+
+	records map[Fingerprint]*record
+}
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry { return &Registry{records: map[Fingerprint]*record{}} }
@@ -126,10 +131,13 @@
 // IsQuarantined reports whether the request must not run.
 func (r *Registry) IsQuarantined(f Fingerprint) bool {
 	e, ok := r.records[f]
-	return ok && e.isQuarantined()
+	return ok && r.isStopped(e)
 }
 
-func (e *record) isQuarantined() bool {
+func (r *Registry) isStopped(e *record) bool {
+	if r.Crashes > 0 {
+		return len(e.crashes) >= r.Crashes
+	}
 	if e.isUnrepeatable {
 		return len(e.crashes) >= unrepeatableCrashes
 	}
@@ -149,7 +157,7 @@
 		}
 		entries = append(entries, Entry{
 			Fingerprint: f, Target: e.target, Crashes: len(e.crashes), IsUnrepeatable: e.isUnrepeatable,
-			IsQuarantined: e.isQuarantined(), Since: time.UnixMilli(since),
+			IsQuarantined: r.isStopped(e), Since: time.UnixMilli(since),
 		})
 	}
 	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -58,6 +58,9 @@
 		return
 	}
 	now := time.Now()
+	if silent := s.members.SilentFor(now, p.Record.Address); silent > 0 {
+		s.Logger.Info("daemon: another daemon regained", "daemon", p.Record.Address, "silent-for", silent)
+	}
 	if s.members.Hear(now, p.Record) {
 		s.Logger.Info("daemon: backend server of another daemon", "daemon", p.Record.Address, "server", p.Record.Server.ID, "state", p.Record.Server.State.String(), "stopping", p.Record.IsStopping)
 	}
--- a/sidecar/entry/handler.go
+++ b/sidecar/entry/handler.go
@@ -48,6 +48,8 @@
 type Quarantine interface {
 	// IsStopped reports whether the request must not run.
 	IsStopped(fingerprint string) bool
+	// NoteAnswer clears a request that was suspected and has now been answered.
+	NoteAnswer(fingerprint string)
 	// NoteCrash counts a backend server that ended while it ran the request.
 	NoteCrash(fingerprint, instance string)
 }
--- a/sidecar/entry/handler_test.go
+++ b/sidecar/entry/handler_test.go
@@ -85,6 +85,7 @@
 	m.withdrawn++
 }
 func (m *mesh) IsStopped(string) bool                     { return m.stopped }
+func (m *mesh) NoteAnswer(string)                         {}
 func (m *mesh) NoteCrash(string, string)                  { m.crashes++ }
 func (m *mesh) Count(message.Outcome, int, time.Duration) {}
 
--- a/sidecar/entry/life.go
+++ b/sidecar/entry/life.go
@@ -39,6 +39,8 @@
 	// failed is the answer of a backend server with a failure of its own.
 	failed *message.Answer
 	reason string
+	// fingerprint identifies the request whatever its ID.
+	fingerprint string
 	// isOver is true once the request must not be offered again.
 	isOver bool
 }
@@ -60,8 +62,8 @@
 
 // run offers the request until a backend server answers or another offer would not be safe or in time.
 func (h *Handler) run(ctx context.Context, c *call) end {
-	fingerprint := Fingerprint(c.request)
-	if h.Quarantine.IsStopped(fingerprint) {
+	c.fingerprint = Fingerprint(c.request)
+	if h.Quarantine.IsStopped(c.fingerprint) {
 		return h.giveUp(c, message.NotRun, http.StatusServiceUnavailable, "quarantined after crashes")
 	}
 	h.earn(c)
@@ -183,6 +185,7 @@
 	c.arrivals++
 	if reply.Answer.Status < http.StatusInternalServerError {
 		h.noteAnswer(c, to.Server.ID, reply.Service)
+		h.Quarantine.NoteAnswer(c.fingerprint)
 		return true, end{response: h.response(reply.Answer), outcome: message.Ran}
 	}
 	h.noteFailure(to.Server.ID)
@@ -222,12 +225,12 @@
 	h.noteFailure(to.Server.ID)
 	c.reason = reply.Reason
 	if reply.IsCrash {
-		h.Quarantine.NoteCrash(Fingerprint(c.request), to.Server.ID)
+		h.Quarantine.NoteCrash(c.fingerprint, reply.Incarnation)
 	}
 	if reply.IsExpired || !time.Now().Before(c.expires) {
 		return true, h.giveUp(c, message.Unknown, http.StatusGatewayTimeout, reply.Reason)
 	}
-	if c.route.Kind().IsRepeatable() && h.mayRepeat(c, to) && !h.Quarantine.IsStopped(Fingerprint(c.request)) {
+	if c.route.Kind().IsRepeatable() && h.mayRepeat(c, to) && !h.Quarantine.IsStopped(c.fingerprint) {
 		return false, end{}
 	}
 	return true, h.giveUp(c, message.Unknown, http.StatusBadGateway, reply.Reason)
--- a/sidecar/message/message.go
+++ b/sidecar/message/message.go
@@ -83,8 +83,9 @@
 	Outcome Outcome
 	// Reason is empty for a request that ran.
 	Reason string
-	// IsCrash is true when the backend server ended while the request ran.
-	IsCrash bool
+	// IsCrash is true when the backend server ended while the request ran; Incarnation is the one that ended.
+	IsCrash     bool
+	Incarnation string
 	// IsExpired is true when the deadline passed.
 	IsExpired bool
 	Answer    Answer
@@ -116,11 +117,11 @@
 	Known int
 }
 
-// Crash tells that a request ended a backend server.
+// Crash tells that a request ended a backend server, or that a request which was suspected has been answered.
 type Crash struct {
 	// Fingerprint identifies the request by its caller, path and body.
 	Fingerprint string
-	// Instance identifies the incarnation of the backend server that ended.
+	// Instance identifies the incarnation of the backend server that ended; it is empty for an answered request.
 	Instance string
 	// Age is the time since the crash.
 	Age time.Duration
--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -81,7 +81,16 @@
 	header := o.Headers.ForServer(c.Request, c.Job.Server, c.Job.Deadline)
 	result := client.Send(ctx, c.Request, header, c.Job.Deadline)
 	took := time.Since(arrived)
-	return o.settle(j, c, result, took)
+	reply := o.settle(j, c, result, took)
+	if reply.Outcome == message.Unknown && !reply.IsExpired && reply.Reason != ReasonWithdrawn {
+		reply.IsCrash = o.hasCrashed(c.Job.Server)
+		reply.Incarnation = c.Job.Server
+	}
+	if reply.Outcome != message.Ran {
+		o.Logger.Info("owner: call failed", "request", c.Request.ID, "entry", c.Job.Entry, "server", c.Job.Server, "outcome", reply.Outcome.String(), "reason", reply.Reason,
+			"crash", reply.IsCrash, "took", took, "running", reply.Load.Running, "waiting", reply.Load.Waiting, "slots", reply.Load.Slots)
+	}
+	return reply
 }
 
 // enter takes the slot of a call.
--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -61,6 +61,7 @@
 	tickets   map[slot.Ticket]*job
 	downUntil time.Time
 	failing   failing
+	look      look
 	done      chan struct{}
 	stop      chan struct{}
 }
--- a/sidecar/owner/owner_test.go
+++ b/sidecar/owner/owner_test.go
@@ -216,3 +216,23 @@
 	assert.Equal(t, o.Call(call("four", "/", "a", route.Idempotent, 4)).Outcome, message.Ran, "a slot that was given back is free")
 	assert.Assert(t, grant.Ticket != 0)
 }
+
+func TestACrashIsToldFromABrokenConnection(t *testing.T) {
+	for _, isCrash := range []bool{true, false} {
+		s := newServer(t)
+		o := newOwner(t)
+		o.Announce(announcement(s, "a", 10, 1, member.Ready))
+		done := make(chan message.Reply, 1)
+		go func() { done <- o.Call(call("one", "/wait", "a", route.Unrepeatable, 1)) }()
+		<-s.started
+		if isCrash {
+			assert.NilError(t, s.Listener.Close())
+		}
+		s.CloseClientConnections()
+		reply := <-done
+		assert.Equal(t, reply.Outcome, message.Unknown)
+		assert.Equal(t, reply.IsCrash, isCrash)
+		close(s.release)
+		s.Close()
+	}
+}
--- a/sidecar/quarantine.go
+++ b/sidecar/quarantine.go
@@ -26,6 +26,8 @@
 	tellTime = 30 * time.Second
 	// maximumTold bounds the crashes in one probe.
 	maximumTold = 32
+	// stoppingCrashes is the number of backend servers that one request may crash.
+	stoppingCrashes = 2
 )
 
 // IsStopped implements entry.Quarantine.
@@ -42,6 +44,17 @@
 	q.note(time.Now(), crash{fingerprint: fingerprint, instance: instance, at: time.Now()})
 }
 
+// NoteAnswer implements entry.Quarantine.
+func (q *Quarantine) NoteAnswer(fingerprint string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.registry == nil || !q.registry.IsSuspected(quarantine.Fingerprint(fingerprint)) {
+		return
+	}
+	now := time.Now()
+	q.note(now, crash{fingerprint: fingerprint, at: now})
+}
+
 // Merge takes in the crashes that another daemon tells of.
 func (q *Quarantine) Merge(now time.Time, crashes []message.Crash) {
 	q.mu.Lock()
@@ -54,6 +67,7 @@
 func (q *Quarantine) note(now time.Time, c crash) {
 	if q.registry == nil {
 		q.registry = quarantine.NewRegistry()
+		q.registry.Crashes = stoppingCrashes
 	}
 	isNew := q.registry.Merge(now, quarantine.Notice{Fingerprint: quarantine.Fingerprint(c.fingerprint), Crash: c.instance, At: c.at.UnixMilli()})
 	if !isNew {
--- /dev/null
+++ b/sidecar/quarantine_test.go
@@ -0,0 +1,35 @@
+package sidecar_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinspar.example/sidecar"
+)
+
+func TestARequestThatCrashesServersIsStoppedEverywhere(t *testing.T) {
+	here, there := &sidecar.Quarantine{}, &sidecar.Quarantine{}
+	here.NoteCrash("poison", "server-1")
+	here.NoteCrash("poison", "server-1")
+	assert.Assert(t, !here.IsStopped("poison"), "one server, however often it is told")
+	there.Merge(time.Now(), here.Recent(time.Now()))
+	there.NoteCrash("poison", "server-2")
+	assert.Assert(t, there.IsStopped("poison"))
+	here.Merge(time.Now(), there.Recent(time.Now()))
+	assert.Assert(t, here.IsStopped("poison"))
+	assert.Assert(t, !here.IsStopped("other"))
+}
+
+func TestARequestThatWasOnlyThereIsCleared(t *testing.T) {
+	here, there := &sidecar.Quarantine{}, &sidecar.Quarantine{}
+	here.NoteCrash("innocent", "server-1")
+	there.Merge(time.Now(), here.Recent(time.Now()))
+	time.Sleep(5 * time.Millisecond)
+	there.NoteAnswer("innocent")
+	time.Sleep(5 * time.Millisecond)
+	here.Merge(time.Now(), there.Recent(time.Now()))
+	here.NoteCrash("innocent", "server-2")
+	assert.Assert(t, !here.IsStopped("innocent"))
+}
