perf: count only the slots that urgent work leaves, wait at four owners of many

Change: the expected wait leaves out slots that run more urgent jobs; a service with more than 16 servers is sampled at four.

--- a/sidecar/entry/life.go
+++ b/sidecar/entry/life.go
@@ -15,6 +15,10 @@
 const (
 	// queueCount is the number of owners at which one request waits at once.
 	queueCount = 8
+	// sampleCount is that number where a service has more than manyServers: a sample is nearly as good there, and each
+	// owner costs messages.
+	sampleCount = 4
+	manyServers = 16
 	// maximumOffers bounds the owners that are asked for a free slot before the request waits.
 	maximumOffers = 3
 	// maximumRounds bounds the waits of one request.
@@ -130,9 +134,13 @@
 }
 
 func (h *Handler) placeAmong(ctx context.Context, c *call, now time.Time, candidates []member.Candidate, mayOffer bool) (place, bool) {
+	count := queueCount
+	if len(candidates) > manyServers {
+		count = sampleCount
+	}
 	h.mu.Lock()
 	free, ok := h.Placer.Free(now, candidates, c.tried, c.route.Kind() == route.Download)
-	queues := h.Placer.Queues(now, candidates, c.tried, queueCount)
+	queues := h.Placer.Queues(now, candidates, c.tried, count)
 	h.mu.Unlock()
 	if ok && mayOffer {
 		return place{at: free, job: h.newJob(c, free, 1)}, true
--- a/sidecar/slot/controller.go
+++ b/sidecar/slot/controller.go
@@ -119,6 +119,8 @@
 }
 
 // ExpectedWait returns how long the jobs ahead of a new one keep it from a slot.
+//
+// Slots that run more urgent jobs don't count: as many urgent jobs will come meanwhile and take them again.
 func (c *Controller) ExpectedWait(now time.Time, j Job) time.Duration {
 	if c.slots <= 0 {
 		return time.Hour
@@ -132,7 +134,13 @@
 	if len(c.running) >= c.slots {
 		ahead += float64(c.times.of(j.Class)) / 2
 	}
-	return time.Duration(ahead / float64(c.slots))
+	urgent := 0
+	for _, r := range c.running {
+		if r.job.Priority < j.Priority {
+			urgent++
+		}
+	}
+	return time.Duration(ahead / float64(max(1, c.slots-urgent)))
 }
 
 // Hold frees the slot of a job unless its request comes in before the given time.
