--- a/sidecar/slot/controller.go
+++ b/sidecar/slot/controller.go
@@ -120,7 +120,7 @@
 
 // ExpectedWait returns how long the jobs ahead of a new one keep it from a slot.
 //
-// Slots that run more urgent jobs don't count: as many urgent jobs will come meanwhile and take them again.
+// Slots that run more urgent jobs don't count, up to half of all: as many urgent jobs will come and take them again.
 func (c *Controller) ExpectedWait(now time.Time, j Job) time.Duration {
 	if c.slots <= 0 {
 		return time.Hour
@@ -140,7 +140,7 @@
 			urgent++
 		}
 	}
-	return time.Duration(ahead / float64(max(1, c.slots-urgent)))
+	return time.Duration(ahead / float64(max((c.slots+1)/2, c.slots-urgent)))
 }
 
 // Hold frees the slot of a job unless its request comes in before the given time.
