--- a/sidecar/entry/handler.go
+++ b/sidecar/entry/handler.go
@@ -118,7 +118,7 @@
 	h.Meter.Count(end.outcome, end.response.Status, took)
 	if end.reason != "" {
 		h.Logger.Info("entry: request failed", "request", id, "route", matched.Name(), "version", uint64(table.Version()), "outcome", end.outcome.String(),
-			"status", end.response.Status, "reason", end.reason, "tried", c.tried, "took", took, "pause", end.pause)
+			"status", end.response.Status, "reason", end.reason, "owner", c.owner, "tried", c.tried, "took", took, "pause", end.pause)
 	}
 	return end.response
 }
--- a/sidecar/entry/life.go
+++ b/sidecar/entry/life.go
@@ -45,6 +45,8 @@
 	reason string
 	// fingerprint identifies the request whatever its ID.
 	fingerprint string
+	// owner is the daemon that the request was offered to last.
+	owner string
 	// isOver is true once the request must not be offered again.
 	isOver bool
 }
@@ -154,6 +156,7 @@
 // offer sends the request to one owner; done is false when it may be offered again.
 func (h *Handler) offer(ctx context.Context, c *call, p place) (done bool, e end) {
 	to := p.at
+	c.owner = to.Address
 	p.job.Deadline = time.Until(c.expires)
 	m := &message.Call{Job: p.job, Ticket: p.ticket, Request: c.request}
 	limited, cancel := context.WithDeadline(ctx, c.expires.Add(answerGrace))
@@ -248,7 +251,10 @@
 // mayRepeat reports whether the request may reach another backend server, and counts it.
 func (h *Handler) mayRepeat(c *call, failed member.Candidate) bool {
 	c.tried = append(c.tried, failed.Server.ID)
-	return c.arrivals < c.route.Attempts() && h.spend(c)
+	mayRepeat := c.arrivals < c.route.Attempts() && h.spend(c)
+	h.Logger.Info("entry: request failed at a backend server", "request", c.request.ID, "route", c.route.Name(), "owner", failed.Address, "server", failed.Server.ID,
+		"reason", c.reason, "arrivals", c.arrivals, "attempts", c.route.Attempts(), "repeated", mayRepeat, "load-age", failed.LoadAge)
+	return mayRepeat
 }
 
 func (h *Handler) spend(c *call) bool {
