test: the whole path over daemons, a store and application servers in one process

Served from any instance, another configuration everywhere and never back (after a dropped history), a daemon started while the store is away, a leave without a loss, a stop that finishes what was read. A benchmark of the two hops.

--- /dev/null
+++ b/sidecar/path_test.go
@@ -0,0 +1,245 @@
+package sidecar_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinspar.example/platform/dialect"
+	"siskinspar.example/platform/rowstore"
+	"siskinspar.example/sidecar"
+	"siskinspar.example/sidecar/owner"
+	"siskinspar.example/sidecar/placement"
+	"siskinspar.example/sidecar/settings"
+	"siskinspar.example/standin/application"
+	"siskinspar.example/standin/platform"
+)
+
+const document = `{"version":"%08x","services":[{"name":"desk","maxConnections":60},{"name":"hub","maxConnections":60}],` +
+	`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutS":3,"idleTimeoutS":15},` +
+	`"virtualHosts":[{"hostname":"a.example","paths":[` +
+	`{"name":"r","prefix":"/r/","kind":"safe","timeoutS":5,"targetLatencyS":1,"priority":2,"service":"%s","attempts":2}]}]}`
+
+// deployment is a store with daemons and their application servers in one process.
+type deployment struct {
+	t         testing.TB
+	store     *platform.Server
+	storeAddr string
+	instances []*instance
+
+	mu   sync.Mutex
+	runs []application.Run
+}
+
+type instance struct {
+	settings *settings.Settings
+	stop     context.CancelFunc
+	ended    chan struct{}
+	server   *application.Server
+}
+
+func newDeployment(t testing.TB) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: &platform.Server{}}
+	h := httptest.NewServer(d.store)
+	t.Cleanup(h.Close)
+	d.storeAddr = strings.TrimPrefix(h.URL, "http://")
+	return d
+}
+
+// NoteRun implements application.Observer.
+func (d *deployment) NoteRun(r application.Run) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.runs = append(d.runs, r)
+}
+
+// configure puts a version in the store that sends the route to a service.
+func (d *deployment) configure(version int, service string) {
+	d.store.PutAsOperator("op", "config", fmt.Appendf(nil, document, version, service))
+}
+
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// add starts a daemon with an application server of a service.
+func (d *deployment) add(service string) *instance {
+	d.t.Helper()
+	i := &instance{settings: &settings.Settings{
+		Instance: fmt.Sprint(len(d.instances)), DataCentre: "zone", Service: service, Store: d.storeAddr, Grace: 4 * time.Second,
+		Clients: freeAddress(d.t), Daemons: freeAddress(d.t), Readiness: freeAddress(d.t), Announcements: freeAddress(d.t),
+		Repeats: placement.Allowance{Ratio: 0.2, Slack: 60, Window: 10 * time.Second},
+	}}
+	assert.Equal(d.t, len(i.settings.Check()), 0)
+	d.instances = append(d.instances, i)
+	d.start(i)
+	i.server = &application.Server{
+		ID: "server-" + i.settings.Instance, Service: service, Address: freeAddress(d.t), Control: i.settings.Announcements,
+		DataCentre: "zone", Slots: 4, Work: time.Millisecond, Heartbeat: 50 * time.Millisecond, Observer: d,
+	}
+	assert.NilError(d.t, i.server.Start())
+	d.t.Cleanup(i.server.Crash)
+	return i
+}
+
+func (d *deployment) start(i *instance) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &sidecar.Sidecar{Settings: i.settings, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Platform: sidecar.Platform{
+		Headers: dialect.Headers{}, Configuration: dialect.Configurations{}, Store: rowstore.NewClient(i.settings.Store),
+		ConfigurationTable: dialect.ConfigurationTable, ConfigurationKey: dialect.ConfigurationKey,
+		NewAnnouncements: func(o *owner.Owner, l *slog.Logger) http.Handler { return &dialect.Announcements{Owner: o, Logger: l} },
+	}}
+	ended := make(chan struct{})
+	i.stop, i.ended = cancel, ended
+	go func() {
+		defer close(ended)
+		if err := s.Run(ctx); err != nil {
+			d.t.Error(err)
+		}
+	}()
+	d.t.Cleanup(func() { cancel(); <-ended })
+}
+
+var number int
+
+// get sends one request to an instance and returns the status and the server that answered.
+func (d *deployment) get(i *instance) (int, string) {
+	number++
+	r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/r/%d", i.settings.Clients, number), nil)
+	assert.NilError(d.t, err)
+	r.Host = "a.example"
+	r.Header.Set("Request-Id", fmt.Sprint(number))
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(d.t, err)
+	if response.StatusCode == http.StatusOK {
+		assert.Equal(d.t, string(body), application.Answer(fmt.Sprint(number), fmt.Sprintf("/r/%d", number)))
+	}
+	return response.StatusCode, response.Header.Get("Instance-Id")
+}
+
+// await repeats requests until one is answered by one of the servers.
+func (d *deployment) await(i *instance, servers ...string) {
+	d.t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for time.Now().Before(deadline) {
+		if status, server := d.get(i); status == http.StatusOK && strings.Contains(strings.Join(servers, " "), server) {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	d.t.Fatalf("no answer of %v", servers)
+}
+
+func TestARequestIsServedFromAnyInstance(t *testing.T) {
+	d := newDeployment(t)
+	d.configure(1, "desk")
+	desk, hub := d.add("desk"), d.add("hub")
+	d.await(desk, "server-0")
+	d.await(hub, "server-0")
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	assert.Equal(t, d.runs[0].Caller, "desk")
+	assert.Equal(t, d.runs[len(d.runs)-1].Caller, "hub", "the caller is the service where the request entered")
+}
+
+func TestAnotherConfigurationComesInForceEverywhere(t *testing.T) {
+	d := newDeployment(t)
+	d.configure(1, "desk")
+	desk, hub := d.add("desk"), d.add("hub")
+	d.await(hub, "server-0")
+	d.store.Compact()
+	d.configure(2, "hub")
+	d.await(desk, "server-1")
+	d.await(hub, "server-1")
+	d.configure(1, "desk")
+	for range 50 {
+		_, server := d.get(desk)
+		assert.Equal(t, server, "server-1", "an older version does not come back")
+	}
+}
+
+func TestADaemonStartedWhileTheStoreIsAwayLearnsFromItsSeeds(t *testing.T) {
+	d := newDeployment(t)
+	d.configure(1, "desk")
+	desk, hub := d.add("desk"), d.add("hub")
+	d.await(hub, "server-0")
+	d.store.SetFault(platform.Fault{Mode: platform.ModeDown})
+	hub.stop()
+	<-hub.ended
+	d.start(hub)
+	// The other daemon probes the address that it knows, so no seed is needed.
+	d.await(hub, "server-0")
+	d.await(desk, "server-0")
+}
+
+func TestAServerThatLeavesIsReplacedWithoutALoss(t *testing.T) {
+	d := newDeployment(t)
+	d.configure(1, "desk")
+	first, second := d.add("desk"), d.add("desk")
+	d.await(first, "server-1", "server-0")
+	d.await(second, "server-1")
+	_, err := first.server.Drain(t.Context())
+	assert.NilError(t, err)
+	for range 100 {
+		status, server := d.get(first)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, server, "server-1")
+	}
+}
+
+func TestAStoppedDaemonFinishesWhatItHasRead(t *testing.T) {
+	d := newDeployment(t)
+	d.configure(1, "desk")
+	first, second := d.add("desk"), d.add("desk")
+	d.await(first, "server-0", "server-1")
+	d.await(second, "server-0", "server-1")
+	first.stop()
+	for {
+		select {
+		case <-first.ended:
+			return
+		default:
+		}
+		if status, _ := d.get(first); status != 0 {
+			assert.Equal(t, status, http.StatusOK)
+		}
+		status, _ := d.get(second)
+		assert.Equal(t, status, http.StatusOK)
+	}
+}
+
+// BenchmarkTwoHops measures a request that enters at one daemon and runs beside another, all in one process.
+func BenchmarkTwoHops(b *testing.B) {
+	d := newDeployment(b)
+	d.configure(1, "hub")
+	desk := d.add("desk")
+	hub := d.add("hub")
+	hub.server.Work = 0
+	d.await(desk, "server-1")
+	b.ReportAllocs()
+	for b.Loop() {
+		if status, _ := d.get(desk); status != http.StatusOK {
+			b.Fatal(status)
+		}
+	}
+}
