--- a/cmd/command/root.go
+++ b/cmd/command/root.go
@@ -10,6 +10,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"siskinspar.example/cmd/instance"
 	"siskinspar.example/cmd/option"
 	"siskinspar.example/cmd/trial"
 )
@@ -37,8 +38,8 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			newDaemon(),
-			newSidecar(),
-			newSoak(),
+			instance.NewSidecar(),
+			trial.NewSoak(),
 			trial.NewStandin(),
 			newValidate(),
 			newPlan(),
--- a/cmd/command/settingswatch.go
+++ b/cmd/instance/settingswatch.go
@@ -1,4 +1,4 @@
-package command
+package instance
 
 import (
 	"bytes"
--- a/cmd/command/sidecar.go
+++ b/cmd/instance/sidecar.go
@@ -1,4 +1,4 @@
-package command
+package instance
 
 import (
 	"context"
@@ -27,7 +27,8 @@
 // memoryShare is the share of the memory of the process at which the collector works harder.
 const memoryShare = 0.7
 
-func newSidecar() *cli.Command {
+// NewSidecar returns the command that runs the daemon beside an application server.
+func NewSidecar() *cli.Command {
 	return &cli.Command{
 		Name:  "sidecar",
 		Usage: "run the daemon on a platform that keeps the configuration",
--- a/cmd/command/soak.go
+++ b/cmd/trial/soak.go
@@ -1,4 +1,4 @@
-package command
+package trial
 
 import (
 	"context"
@@ -12,7 +12,8 @@
 	"siskinspar.example/cmd/soak"
 )
 
-func newSoak() *cli.Command {
+// NewSoak returns the command that runs sidecar processes under random faults.
+func NewSoak() *cli.Command {
 	return &cli.Command{
 		Name:  "soak",
 		Usage: "run sidecar processes on loopback under random faults and check what they promise",
--- a/sidecar/discovery/follower.go
+++ b/sidecar/discovery/follower.go
@@ -5,7 +5,6 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 )
 
@@ -30,12 +29,9 @@
 	Logger *slog.Logger
 	// OnRows is called with the rows of a list or a change.
 	OnRows func(rows []Row)
-	// OnRead is called after each successful call.
-	OnRead func()
 
-	isReady atomic.Bool
-	isDown  bool
-	done    chan struct{}
+	isDown bool
+	done   chan struct{}
 }
 
 // Run follows the table until the context ends.
@@ -50,9 +46,6 @@
 // Done returns a channel that is closed once the follower has ended.
 func (f *Follower) Done() <-chan struct{} { return f.done }
 
-// IsReady reports whether the table has been read once.
-func (f *Follower) IsReady() bool { return f.isReady.Load() }
-
 func (f *Follower) follow(ctx context.Context) {
 	pause := firstPause
 	var version uint64
@@ -100,10 +93,6 @@
 }
 
 func (f *Follower) regain() {
-	f.isReady.Store(true)
-	if f.OnRead != nil {
-		f.OnRead()
-	}
 	if !f.isDown {
 		return
 	}
--- a/sidecar/discovery/prober.go
+++ b/sidecar/discovery/prober.go
@@ -178,7 +178,7 @@
 		p.Logger.Warn("discovery: daemon lost", "daemon", address, "error", err)
 	}
 	if errors.Is(limited.Err(), context.DeadlineExceeded) {
-		link.Close(err)
+		link.Close()
 	}
 }
 
--- a/sidecar/ingress/server.go
+++ b/sidecar/ingress/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -10,12 +9,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
+	"siskinspar.example/sidecar/listener"
 )
 
-// acceptPause follows a failed accept, as for want of descriptors.
-const acceptPause = 20 * time.Millisecond
-
 // Limits bound what a client may send and how long it may take.
 type Limits struct {
 	HeaderBytes   int
@@ -58,41 +54,18 @@
 	Limits func() Limits
 	Logger *slog.Logger
 
-	listener   net.Listener
+	listener   *listener.Listener
 	isStopping atomic.Bool
 	mu         sync.Mutex
 	conns      map[*conn]bool
 	group      sync.WaitGroup
-	done       chan struct{}
 }
 
 // Run listens and serves until Stop.
 func (s *Server) Run() error {
-	l, err := net.Listen("tcp", s.Address)
-	if err != nil {
-		return eris.Wrapf(err, "listen for clients on %s", s.Address)
-	}
-	s.listener = l
 	s.conns = map[*conn]bool{}
-	s.done = make(chan struct{})
-	go s.accept()
-	return nil
-}
-
-func (s *Server) accept() {
-	defer close(s.done)
-	for {
-		c, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			s.Logger.Warn("ingress: accept failed", "error", err)
-			time.Sleep(acceptPause)
-			continue
-		}
-		s.serve(c)
-	}
+	s.listener = &listener.Listener{Name: "clients", Address: s.Address, Serve: s.serve, Logger: s.Logger}
+	return s.listener.Run()
 }
 
 func (s *Server) serve(c net.Conn) {
@@ -123,10 +96,7 @@
 // Stop closes the listener and waits until all requests are answered, at most for the given time.
 func (s *Server) Stop(limit time.Duration) {
 	s.Drain()
-	if err := s.listener.Close(); err != nil {
-		s.Logger.Warn("ingress: close of the listener failed", "error", err)
-	}
-	<-s.done
+	s.listener.Stop()
 	ended := make(chan struct{})
 	go func() {
 		s.group.Wait()
@@ -146,4 +116,4 @@
 }
 
 // Done returns a channel that is closed once the listener has ended.
-func (s *Server) Done() <-chan struct{} { return s.done }
+func (s *Server) Done() <-chan struct{} { return s.listener.Done() }
--- /dev/null
+++ b/sidecar/listener/doc.go
@@ -0,0 +1,2 @@
+// Package listener accepts connections until it is told to stop.
+package listener
--- a/sidecar/member/table.go
+++ b/sidecar/member/table.go
@@ -47,13 +47,6 @@
 	return true
 }
 
-// Remove forgets a daemon.
-func (t *Table) Remove(address string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.members, address)
-}
-
 // Len returns the number of daemons in the table.
 func (t *Table) Len() int {
 	t.mu.Lock()
@@ -136,16 +129,6 @@
 	return now.Sub(e.silentSince)
 }
 
-// Heard returns when a daemon last said something.
-func (t *Table) Heard(address string) time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if e, ok := t.members[address]; ok {
-		return e.heard
-	}
-	return time.Time{}
-}
-
 // Candidates returns the ready backend servers of a service beside other daemons, in order of address.
 func (t *Table) Candidates(now time.Time, service string) []Candidate {
 	t.mu.Lock()
--- a/sidecar/peer/link.go
+++ b/sidecar/peer/link.go
@@ -25,8 +25,6 @@
 // Link is the connection to one daemon; it is dialled on use and safe for concurrent use.
 type Link struct {
 	Address string
-	// OnClose is called with the error when an open connection is lost.
-	OnClose func(err error)
 
 	mu      sync.Mutex
 	client  *rpc.Client
@@ -35,13 +33,6 @@
 	pending int
 }
 
-// Go sends a call and returns its result on the channel; ErrNotSent means that nothing was sent.
-func (l *Link) Go(ctx context.Context, method string, arguments, reply any) <-chan error {
-	result := make(chan error, 1)
-	go func() { result <- l.Call(ctx, method, arguments, reply) }()
-	return result
-}
-
 // Call sends a call and waits for its reply until the context ends; the reply must not be read after an error.
 func (l *Link) Call(ctx context.Context, method string, arguments, reply any) error {
 	client, err := l.connect(ctx)
@@ -54,7 +45,7 @@
 	select {
 	case <-call.Done:
 		if call.Error != nil {
-			l.drop(client, call.Error)
+			l.drop(client)
 			return eris.Wrapf(call.Error, "call %s at %s", method, l.Address)
 		}
 		return nil
@@ -77,16 +68,16 @@
 }
 
 // Close ends the connection; the next call dials anew.
-func (l *Link) Close(reason error) {
+func (l *Link) Close() {
 	l.mu.Lock()
 	client := l.client
 	l.mu.Unlock()
 	if client != nil {
-		l.drop(client, reason)
+		l.drop(client)
 	}
 }
 
-func (l *Link) drop(client *rpc.Client, reason error) {
+func (l *Link) drop(client *rpc.Client) {
 	l.mu.Lock()
 	isCurrent := l.client == client
 	if isCurrent {
@@ -98,9 +89,6 @@
 	}
 	// A second close of the client reports only that it was shut down before.
 	_ = client.Close()
-	if l.OnClose != nil {
-		l.OnClose(reason)
-	}
 }
 
 // connect returns the open connection, or dials; one dial serves all who wait.
--- a/sidecar/peer/pool.go
+++ b/sidecar/peer/pool.go
@@ -16,9 +16,6 @@
 
 // Pool holds the links to the other daemons; it is safe for concurrent use.
 type Pool struct {
-	// OnClose is called when an open connection to a daemon is lost.
-	OnClose func(address string, lane Lane, err error)
-
 	mu    sync.Mutex
 	links map[string]*[laneCount]*Link
 }
@@ -32,47 +29,29 @@
 	}
 	links, ok := p.links[address]
 	if !ok {
-		links = p.newLinks(address)
+		links = newLinks(address)
 		p.links[address] = links
 	}
 	return links[lane]
 }
 
-func (p *Pool) newLinks(address string) *[laneCount]*Link {
+func newLinks(address string) *[laneCount]*Link {
 	var links [laneCount]*Link
 	for lane := range laneCount {
-		links[lane] = &Link{Address: address, OnClose: func(err error) {
-			if p.OnClose != nil {
-				p.OnClose(address, lane, err)
-			}
-		}}
+		links[lane] = &Link{Address: address}
 	}
 	return &links
 }
 
-// Forget closes the links to a daemon that is gone.
-func (p *Pool) Forget(address string, reason error) {
-	p.mu.Lock()
-	links := p.links[address]
-	delete(p.links, address)
-	p.mu.Unlock()
-	if links == nil {
-		return
-	}
-	for _, l := range links {
-		l.Close(reason)
-	}
-}
-
 // Close closes all links.
-func (p *Pool) Close(reason error) {
+func (p *Pool) Close() {
 	p.mu.Lock()
 	links := p.links
 	p.links = nil
 	p.mu.Unlock()
 	for _, pair := range links {
 		for _, l := range pair {
-			l.Close(reason)
+			l.Close()
 		}
 	}
 }
--- a/sidecar/peer/server.go
+++ b/sidecar/peer/server.go
@@ -1,18 +1,15 @@
 package peer
 
 import (
-	"errors"
 	"log/slog"
 	"net"
 	"net/rpc"
 	"sync"
-	"time"
 
 	"github.com/rotisserie/eris"
-)
 
-// acceptPause follows a failed accept, as for want of descriptors.
-const acceptPause = 20 * time.Millisecond
+	"siskinspar.example/sidecar/listener"
+)
 
 // ServiceName is the name under which a daemon serves its calls.
 const ServiceName = "Daemon"
@@ -24,47 +21,29 @@
 	Service any
 	Logger  *slog.Logger
 
-	listener net.Listener
+	listener *listener.Listener
+	server   *rpc.Server
 	mu       sync.Mutex
 	conns    map[net.Conn]bool
-	done     chan struct{}
 }
 
 // Run listens and serves until Stop.
 func (s *Server) Run() error {
-	server := rpc.NewServer()
-	if err := server.RegisterName(ServiceName, s.Service); err != nil {
+	s.server = rpc.NewServer()
+	if err := s.server.RegisterName(ServiceName, s.Service); err != nil {
 		return eris.Wrap(err, "register the calls of other daemons")
 	}
-	l, err := net.Listen("tcp", s.Address)
-	if err != nil {
-		return eris.Wrapf(err, "listen for daemons on %s", s.Address)
-	}
-	s.listener = l
 	s.conns = map[net.Conn]bool{}
-	s.done = make(chan struct{})
-	go s.accept(server)
-	return nil
+	s.listener = &listener.Listener{Name: "daemons", Address: s.Address, Serve: s.serve, Logger: s.Logger}
+	return s.listener.Run()
 }
 
-func (s *Server) accept(server *rpc.Server) {
-	defer close(s.done)
-	for {
-		c, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			s.Logger.Warn("peer: accept failed", "error", err)
-			time.Sleep(acceptPause)
-			continue
-		}
-		s.track(c, true)
-		go func() {
-			defer s.track(c, false)
-			server.ServeConn(boundedConn{c})
-		}()
-	}
+func (s *Server) serve(c net.Conn) {
+	s.track(c, true)
+	go func() {
+		defer s.track(c, false)
+		s.server.ServeConn(boundedConn{c})
+	}()
 }
 
 func (s *Server) track(c net.Conn, isOpen bool) {
@@ -79,10 +58,7 @@
 
 // Stop closes the listener and all connections.
 func (s *Server) Stop() {
-	if err := s.listener.Close(); err != nil {
-		s.Logger.Warn("peer: close of the listener failed", "error", err)
-	}
-	<-s.done
+	s.listener.Stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -92,4 +68,4 @@
 }
 
 // Done returns a channel that is closed once the listener has ended.
-func (s *Server) Done() <-chan struct{} { return s.done }
+func (s *Server) Done() <-chan struct{} { return s.listener.Done() }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -25,13 +24,6 @@
 	"siskinspar.example/sidecar/settings"
 )
 
-const (
-	// membersTable is the table of the store in which daemons find each other.
-	membersTable = "daemons"
-	// stopMargin is kept from the grace period of the platform.
-	stopMargin = time.Second
-)
-
 // Headers translates the headers of requests and answers.
 type Headers interface {
 	entry.Headers
@@ -230,70 +222,6 @@
 	}
 }
 
-// registration is the row of a daemon in the store.
-type registration struct {
-	DataCentre string `json:"dataCentre"`
-}
-
-func (s *Sidecar) addRows(rows []discovery.Row) {
-	for _, r := range rows {
-		if _, err := netip.ParseAddrPort(r.Key); err != nil {
-			s.Logger.Warn("daemon: row without an address", "key", r.Key, "error", err)
-			continue
-		}
-		if r.Key == s.Settings.Daemons || r.IsRemoved {
-			continue
-		}
-		if s.members.Add(r.Key) {
-			s.Logger.Info("daemon: found another daemon", "address", r.Key)
-			s.prober.Announce()
-		}
-	}
-}
-
-// register writes the own row and then reads those of the others; a daemon that is not in the list yet will read the own row.
-func (s *Sidecar) register(ctx context.Context) {
-	value, err := json.Marshal(registration{DataCentre: s.Settings.DataCentre})
-	if err != nil {
-		s.Logger.Error("daemon: registration could not be encoded", "error", err)
-		return
-	}
-	s.persist(ctx, "write the own row", func(ctx context.Context) error {
-		return s.Platform.Store.Put(ctx, membersTable, s.Settings.Daemons, value)
-	})
-	s.persist(ctx, "read the rows of the daemons", func(ctx context.Context) error {
-		page, err := s.Platform.Store.List(ctx, membersTable)
-		if err == nil {
-			s.addRows(page.Rows)
-		}
-		return err
-	})
-}
-
-// persist repeats a call of the store until it succeeds.
-func (s *Sidecar) persist(ctx context.Context, purpose string, call func(context.Context) error) {
-	for ctx.Err() == nil {
-		limited, cancel := context.WithTimeout(ctx, registerTimeout)
-		err := call(limited)
-		cancel()
-		if err == nil {
-			return
-		}
-		s.Logger.Warn("daemon: store call failed", "purpose", purpose, "error", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(registerPause/2 + rand.N(registerPause)):
-		}
-	}
-}
-
-const (
-	// registerTimeout bounds one attempt to write the own row.
-	registerTimeout = 2 * time.Second
-	// registerPause is the mean pause between two attempts.
-	registerPause = 500 * time.Millisecond
-)
-
 // isReady reports whether clients should send requests here.
 func (s *Sidecar) isReady() bool { return !s.isStopping.Load() && s.configuration.Table() != nil }
 
@@ -310,45 +238,3 @@
 func (s *Sidecar) newMetrics() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(s.registry, w) })
 }
-
-// stop answers the requests that were read, lets the calls of other daemons finish, and closes everything.
-//
-// Clients are given the time in which readiness is asked for twice; then the listener refuses them, and they turn to
-// another daemon without a request in doubt.
-func (s *Sidecar) stop() {
-	deadline := time.Now().Add(s.Settings.Grace - stopMargin)
-	s.Logger.Info("daemon: stopping", "limit", s.Settings.Grace-stopMargin)
-	s.isStopping.Store(true)
-	s.announce()
-	s.ingress.Drain()
-	time.Sleep(min(noticeTime, time.Until(deadline)/2))
-	s.ingress.Stop(time.Until(deadline))
-	s.awaitCalls(deadline)
-	s.peers.Stop()
-	s.owner.Stop()
-	s.pool.Close(eris.New("the daemon stops"))
-	for _, server := range s.servers {
-		if err := server.Close(); err != nil {
-			s.Logger.Warn("daemon: close of a listener failed", "error", err)
-		}
-	}
-	s.Logger.Info("daemon: stopped")
-}
-
-const (
-	// noticeTime is how long clients and other daemons are given to turn to others.
-	noticeTime = 2200 * time.Millisecond
-	// idlePeriod is how often the daemon looks whether calls still run.
-	idlePeriod = 50 * time.Millisecond
-)
-
-// awaitCalls waits until no call of another daemon runs any more.
-func (s *Sidecar) awaitCalls(deadline time.Time) {
-	for time.Now().Before(deadline) {
-		if _, load := s.owner.Server(); load.Running == 0 && load.Waiting == 0 {
-			return
-		}
-		time.Sleep(idlePeriod)
-	}
-	s.Logger.Warn("daemon: calls are cut at the end of the drain")
-}
--- a/sidecar/upstream/client.go
+++ b/sidecar/upstream/client.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -251,8 +250,3 @@
 		_ = n.Close()
 	}
 }
-
-// SetDeadline writes the time that is left for a request, in milliseconds, under the given name.
-func SetDeadline(h http.Header, name string, left time.Duration) {
-	h.Set(name, strconv.FormatInt(max(1, left.Milliseconds()), 10))
-}
