--- a/sidecar/entry/handler.go
+++ b/sidecar/entry/handler.go
@@ -97,7 +97,7 @@
 	usual   map[string]time.Duration
 }
 
-// smoothing is the weight of a new service time in the usual time of a route.
+// smoothing is the weight of a new time in the usual time of a route.
 const smoothing = 0.05
 
 // Serve implements ingress.Handler.
@@ -176,7 +176,7 @@
 	return b
 }
 
-// noteAnswer learns from the service time of an answer.
+// noteAnswer learns from the time of an answer, with the links on its way.
 func (h *Handler) noteAnswer(c *call, server string, took time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -189,5 +189,5 @@
 		usual = took
 	}
 	h.usual[name] = usual + time.Duration(smoothing*float64(took-usual))
-	h.Placer.NoteAnswer(server, took, usual)
+	h.Placer.NoteAnswer(server, took, usual, c.route.Kind() == route.Download)
 }
--- a/sidecar/entry/life.go
+++ b/sidecar/entry/life.go
@@ -141,8 +141,9 @@
 		count = sampleCount
 	}
 	h.mu.Lock()
-	free, ok := h.Placer.Free(now, candidates, c.tried, c.route.Kind() == route.Download)
-	queues := h.Placer.Queues(now, candidates, c.tried, count)
+	isBulk := c.route.Kind() == route.Download
+	free, ok := h.Placer.Free(now, candidates, c.tried, isBulk)
+	queues := h.Placer.Queues(now, candidates, c.tried, count, isBulk)
 	h.mu.Unlock()
 	if ok && mayOffer {
 		return place{at: free, job: h.newJob(c, free, 1)}, true
@@ -162,6 +163,7 @@
 	limited, cancel := context.WithDeadline(ctx, c.expires.Add(answerGrace))
 	defer cancel()
 	h.Directory.NoteSent(to.Address)
+	started := time.Now()
 	reply, isSent, err := h.Owners.Call(limited, to.Address, m)
 	now := time.Now()
 	if err != nil {
@@ -172,7 +174,7 @@
 	}
 	switch reply.Outcome {
 	case message.Ran:
-		return h.answered(c, to, reply)
+		return h.answered(c, to, reply, now.Sub(started))
 	case message.NotRun:
 		h.notRun(c, to, reply, isSent)
 		return false, end{}
@@ -193,10 +195,10 @@
 	return message.Reply{Reason: "no word from the owner", IsExpired: !time.Now().Before(c.expires)}
 }
 
-func (h *Handler) answered(c *call, to member.Candidate, reply message.Reply) (bool, end) {
+func (h *Handler) answered(c *call, to member.Candidate, reply message.Reply, took time.Duration) (bool, end) {
 	c.arrivals++
 	if reply.Answer.Status < http.StatusInternalServerError {
-		h.noteAnswer(c, to.Server.ID, reply.Service)
+		h.noteAnswer(c, to.Server.ID, took)
 		h.Quarantine.NoteAnswer(c.fingerprint)
 		return true, end{response: h.response(reply.Answer), outcome: message.Ran}
 	}
--- a/sidecar/placement/placement_test.go
+++ b/sidecar/placement/placement_test.go
@@ -66,12 +66,26 @@
 func TestASlowServerIsPickedAfterAFastOne(t *testing.T) {
 	p := newPlacer()
 	for range 20 {
-		p.NoteAnswer("near", 300*time.Millisecond, 100*time.Millisecond)
+		p.NoteAnswer("near", 300*time.Millisecond, 100*time.Millisecond, false)
 	}
 	found, _ := p.Free(now, []member.Candidate{candidate("near", "a", 0), candidate("far", "b", 0)}, nil, false)
 	assert.Equal(t, found.Address, "far")
 }
 
+func TestLargeAnswersAvoidAThinLink(t *testing.T) {
+	p := newPlacer()
+	for range 20 {
+		p.NoteAnswer("thin", 900*time.Millisecond, 200*time.Millisecond, true)
+	}
+	from := []member.Candidate{candidate("thin", "a", 0), candidate("wide", "a", 4)}
+	found, _ := p.Free(now, from, nil, true)
+	assert.Equal(t, found.Address, "wide")
+	found, _ = p.Free(now, from, nil, false)
+	assert.Equal(t, found.Address, "thin", "small requests don't mind")
+	queues := p.Queues(now, []member.Candidate{candidate("thin", "a", 8), candidate("wide", "a", 8)}, nil, 1, true)
+	assert.Equal(t, queues[0].Address, "wide")
+}
+
 // TestAllDaemonsTogetherKeepTheAllowance plays a failing service: every request asks for as many repeats as it can get.
 func TestAllDaemonsTogetherKeepTheAllowance(t *testing.T) {
 	allowance := placement.Allowance{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
--- a/sidecar/placement/placer.go
+++ b/sidecar/placement/placer.go
@@ -12,8 +12,10 @@
 const (
 	// neutralTime stands in for the service time of a backend server without samples.
 	neutralTime = 100 * time.Millisecond
-	// smoothing is the weight of a new service time.
+	// smoothing is the weight of a new time.
 	smoothing = 0.15
+	// maximumPace bounds the weight of a single slow answer.
+	maximumPace = 5
 	// failureShare is the share of failures above which a backend server is passed over while others are left.
 	failureShare = 0.3
 	// failureSmoothing is the weight of a new success or failure.
@@ -42,7 +44,9 @@
 
 // observation is what the requests sent to one backend server showed.
 type observation struct {
-	pace     float64
+	pace float64
+	// bulkPace is that of large answers, which takes in the links on their way.
+	bulkPace float64
 	failures float64
 	failed   time.Time
 }
@@ -53,19 +57,37 @@
 	}
 	o, ok := p.observed[id]
 	if !ok {
-		o = &observation{pace: 1}
+		o = &observation{pace: 1, bulkPace: 1}
 		p.observed[id] = o
 	}
 	return o
 }
 
-// NoteAnswer takes in the service time of an answer relative to the usual time of its route.
-func (p *Placer) NoteAnswer(id string, took, usual time.Duration) {
+// NoteAnswer takes in the time of an answer, as its sender saw it, relative to the usual time of its route.
+func (p *Placer) NoteAnswer(id string, took, usual time.Duration, isBulk bool) {
 	o := p.of(id)
 	o.failures -= failureSmoothing * o.failures
-	if usual > 0 {
-		o.pace += smoothing * (min(float64(took)/float64(usual), 5) - o.pace)
+	if usual <= 0 {
+		return
 	}
+	sample := min(float64(took)/float64(usual), maximumPace)
+	if isBulk {
+		o.bulkPace += smoothing * (sample - o.bulkPace)
+		return
+	}
+	o.pace += smoothing * (sample - o.pace)
+}
+
+// paceOf returns how long a backend server takes, relative to the others.
+func (p *Placer) paceOf(id string, isBulk bool) float64 {
+	o, ok := p.observed[id]
+	switch {
+	case !ok:
+		return 1
+	case isBulk:
+		return o.bulkPace
+	}
+	return o.pace
 }
 
 // NoteFailure takes in a request that the backend server failed.
@@ -110,18 +132,23 @@
 }
 
 // Queues returns up to count backend servers at which a request should wait, the most promising first.
-func (p *Placer) Queues(now time.Time, from []member.Candidate, tried []string, count int) []member.Candidate {
+func (p *Placer) Queues(now time.Time, from []member.Candidate, tried []string, count int, isBulk bool) []member.Candidate {
 	usable := p.usable(now, from, tried)
 	p.Random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
 	if len(usable) <= count {
 		return usable
 	}
 	slices.SortStableFunc(usable, func(a, b member.Candidate) int {
-		return cmp.Compare(a.Load.Waiting*max(1, b.Load.Slots), b.Load.Waiting*max(1, a.Load.Slots))
+		return cmp.Compare(p.queueing(a, isBulk), p.queueing(b, isBulk))
 	})
 	return usable[:count]
 }
 
+// queueing compares the waits at backend servers: the work ahead for each slot, by their pace.
+func (p *Placer) queueing(c member.Candidate, isBulk bool) float64 {
+	return float64(c.Load.Running+c.Load.Waiting) / float64(max(1, c.Load.Slots)) * p.paceOf(c.Server.ID, isBulk)
+}
+
 // usable leaves out tried backend servers, and silent and failing ones unless no others are left.
 func (p *Placer) usable(now time.Time, from []member.Candidate, tried []string) []member.Candidate {
 	var sound, doubtful []member.Candidate
@@ -142,10 +169,7 @@
 
 // expected estimates when an answer would be here; it only compares backend servers of one service.
 func (p *Placer) expected(c member.Candidate, isBulk bool) time.Duration {
-	pace := 1.0
-	if o, ok := p.observed[c.Server.ID]; ok {
-		pace = o.pace
-	}
+	pace := p.paceOf(c.Server.ID, isBulk)
 	fill := float64(c.Load.Running) / float64(max(1, c.Load.Slots))
 	t := time.Duration(float64(neutralTime) * pace * (1 + crowding*fill))
 	switch {
