perf: let old loads only even the queues out

Cause: in a large mesh an owner states its load to a given daemon every few seconds; queues sorted by such loads sent all to the same owners (reminders waited 1.0 s at the median).

Change: a load older than 0.5 s counts as an average fill when owners to wait at are chosen.

--- a/sidecar/placement/placement_test.go
+++ b/sidecar/placement/placement_test.go
@@ -86,6 +86,25 @@
 	assert.Equal(t, queues[0].Address, "wide")
 }
 
+func TestOldLoadsDontSendAllToTheSamePlace(t *testing.T) {
+	var many []member.Candidate
+	for i := range 60 {
+		c := candidate(string(rune('A'+i)), "a", 8+i%8)
+		c.LoadAge = 2 * time.Second
+		many = append(many, c)
+	}
+	p := newPlacer()
+	picked := map[string]int{}
+	for range 600 {
+		for _, c := range p.Queues(now, many, nil, 4, false) {
+			picked[c.Address]++
+		}
+	}
+	for address, count := range picked {
+		assert.Assert(t, count < 100, "%s was picked %d times, 40 being its share", address, count)
+	}
+}
+
 // TestAllDaemonsTogetherKeepTheAllowance plays a failing service: every request asks for as many repeats as it can get.
 func TestAllDaemonsTogetherKeepTheAllowance(t *testing.T) {
 	allowance := placement.Allowance{Ratio: 0.2, Slack: 60, Window: 10 * time.Second}
--- a/sidecar/placement/placer.go
+++ b/sidecar/placement/placer.go
@@ -28,6 +28,10 @@
 	bulkDistance = 150 * time.Millisecond
 	// nearby is what another instance of the own data centre adds.
 	nearby = 2 * time.Millisecond
+	// loadLifetime is how long a load that an owner stated counts.
+	loadLifetime = 500 * time.Millisecond
+	// unknownFill stands in for the load of a backend server that has not stated one lately.
+	unknownFill = 0.6
 	// crowding is the share by which a full backend server takes longer than an empty one.
 	crowding = 0.5
 )
@@ -108,7 +112,9 @@
 	var best member.Candidate
 	var bestTime time.Duration
 	found := false
-	for _, c := range p.usable(now, from, tried) {
+	usable := p.usable(now, from, tried)
+	p.Random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+	for _, c := range usable {
 		if !c.Load.IsFree() {
 			continue
 		}
@@ -146,7 +152,16 @@
 
 // queueing compares the waits at backend servers: the work ahead for each slot, by their pace.
 func (p *Placer) queueing(c member.Candidate, isBulk bool) float64 {
-	return float64(c.Load.Running+c.Load.Waiting) / float64(max(1, c.Load.Slots)) * p.paceOf(c.Server.ID, isBulk)
+	return fillOf(c) * p.paceOf(c.Server.ID, isBulk)
+}
+
+// fillOf returns the work at a backend server for each slot; where the load is old, daemons that all believe it would
+// send their requests to the same place.
+func fillOf(c member.Candidate) float64 {
+	if c.LoadAge > loadLifetime {
+		return unknownFill
+	}
+	return float64(c.Load.Running+c.Load.Waiting) / float64(max(1, c.Load.Slots))
 }
 
 // usable leaves out tried backend servers, and silent and failing ones unless no others are left.
@@ -170,8 +185,7 @@
 // expected estimates when an answer would be here; it only compares backend servers of one service.
 func (p *Placer) expected(c member.Candidate, isBulk bool) time.Duration {
 	pace := p.paceOf(c.Server.ID, isBulk)
-	fill := float64(c.Load.Running) / float64(max(1, c.Load.Slots))
-	t := time.Duration(float64(neutralTime) * pace * (1 + crowding*fill))
+	t := time.Duration(float64(neutralTime) * pace * (1 + crowding*fillOf(c)))
 	switch {
 	case c.Address == p.Address:
 		return t
