fix: count the crash of a server that still listens for a moment

A process that ends closes its connections before its listener, so the look found someone listening, the crash was not counted, and the request ran once more.

Ruled out: a notice under way (the counts never met, after 60 s).

One look for both daemons (sidecar/upstream). The test waits for all crashes instead of any.

--- a/cmd/integration/crash_test.go
+++ b/cmd/integration/crash_test.go
@@ -56,10 +56,10 @@
 				response, _, err := i.do(c.method, c.path, fmt.Sprintf("p-%d", n), h, strings.NewReader("poison"))
 				assert.NilError(t, err)
 				assert.Assert(t, response.StatusCode >= 500)
-				eventually(t, "all daemons know", func() bool {
+				eventually(t, "all daemons know of all crashes", func() bool {
 					for _, other := range m.daemons {
 						entries, err := other.client().Quarantine(t.Context())
-						if err != nil || len(entries) != 1 {
+						if err != nil || len(entries) != 1 || entries[0].Crashes != crashed(desks) {
 							return false
 						}
 					}
--- a/daemon/crash/guard.go
+++ b/daemon/crash/guard.go
@@ -1,20 +1,16 @@
 package crash
 
 import (
-	"net"
 	"sync"
 	"time"
 
 	"siskinspar.example/request/quarantine"
+	"siskinspar.example/sidecar/upstream"
 	"siskinspar.example/timeline"
 )
 
-const (
-	// dialTimeout bounds the look whether a backend server still listens.
-	dialTimeout = 200 * time.Millisecond
-	// crashSpan is the time within which broken connections to one backend server belong to one crash.
-	crashSpan = time.Second
-)
+// crashSpan is the time within which broken connections to one backend server belong to one crash.
+const crashSpan = time.Second
 
 // Spreader tells the other daemons.
 type Spreader interface {
@@ -59,9 +55,7 @@
 
 // NoteBroken looks whether the backend server crashed while the request ran, and reports it if so.
 func (g *Guard) NoteBroken(q Request, backend, address string) bool {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
-	if err == nil {
-		_ = conn.Close()
+	if !upstream.HasEnded(address) {
 		return false
 	}
 	at, isFirst := g.crashTime(backend)
--- a/sidecar/owner/crash.go
+++ b/sidecar/owner/crash.go
@@ -1,19 +1,14 @@
 package owner
 
 import (
-	"errors"
-	"net"
-	"syscall"
 	"time"
-)
 
-const (
-	// lookTimeout bounds the look whether the backend server still listens.
-	lookTimeout = 200 * time.Millisecond
-	// lookPeriod is how long the result of a look counts, so that many broken connections cost one.
-	lookPeriod = 500 * time.Millisecond
+	"siskinspar.example/sidecar/upstream"
 )
 
+// lookPeriod is how long the result of a look counts, so that many broken connections cost one.
+const lookPeriod = 500 * time.Millisecond
+
 // look is the latest look at a backend server whose connections broke.
 type look struct {
 	server     string
@@ -33,7 +28,7 @@
 	if !isCurrent {
 		return false
 	}
-	crashed := isRefused(address)
+	crashed := upstream.HasEnded(address)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.look = look{server: id, at: time.Now(), hasCrashed: crashed}
@@ -42,13 +37,3 @@
 	}
 	return crashed
 }
-
-func isRefused(address string) bool {
-	c, err := net.DialTimeout("tcp", address, lookTimeout)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	// The connection served only to see that someone listens.
-	_ = c.Close()
-	return false
-}
--- a/sidecar/upstream/client_test.go
+++ b/sidecar/upstream/client_test.go
@@ -213,3 +213,28 @@
 	assert.Equal(t, result.Outcome, upstream.NotSent)
 	assert.Assert(t, result.IsRefused)
 }
+
+func TestAServerThatIsEndingIsToldFromOneThatListens(t *testing.T) {
+	for _, isEnding := range []bool{true, false} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		address := l.Addr().String()
+		go func() {
+			// A connection that was set up, and is reset when the process ends.
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if !isEnding {
+				_, _ = io.Copy(io.Discard, c)
+				return
+			}
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+			_ = l.Close()
+		}()
+		assert.Equal(t, upstream.HasEnded(address), isEnding)
+		_ = l.Close()
+		assert.Assert(t, upstream.HasEnded(address), "nobody listens")
+	}
+}
