--- a/sidecar/entry/handler_test.go
+++ b/sidecar/entry/handler_test.go
@@ -150,6 +150,7 @@
 		{"the server leaves", route.Unrepeatable, []step{draining, ran(200)}, 200, 2},
 		{"all servers leave", route.Unrepeatable, []step{draining, draining, draining}, 503, 3},
 		{"the server turned it away", route.Unrepeatable, []step{rejected, ran(200)}, 200, 2},
+		{"unknown, then all servers leave", route.Idempotent, []step{unknown(), draining, draining}, 502, 3},
 		{"a refusal, then unknown", route.Unrepeatable, []step{draining, unknown()}, 502, 2},
 		{"the slot was taken meanwhile", route.Unrepeatable, []step{notRun(string(slot.ReasonBusy)), ran(200)}, 200, 2},
 	} {
--- a/sidecar/entry/life.go
+++ b/sidecar/entry/life.go
@@ -100,6 +100,10 @@
 	if c.failed != nil {
 		return end{response: h.response(*c.failed), outcome: message.Ran, reason: c.reason}
 	}
+	if c.arrivals > 0 {
+		// It has reached a backend server before, so it can't be called not run, though it may be repeated.
+		return h.giveUp(c, message.Unknown, http.StatusBadGateway, c.reason)
+	}
 	return h.giveUp(c, message.NotRun, http.StatusServiceUnavailable, c.reason)
 }
 
