docs: say what two comments left open

Cause: read as a newcomer: feedGrace spoke of a constant that stands elsewhere now, and the order of register's two calls was not explained. No code changed but the order of two constants; no figures.

--- a/sidecar/discovery/follower.go
+++ b/sidecar/discovery/follower.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// feedGrace is how much longer than that the answer is waited for.
-	feedGrace = 2 * time.Second
 	// listTimeout bounds the read of a table.
 	listTimeout = 3 * time.Second
 	// firstPause and longestPause bound the pause after a failed call.
@@ -20,6 +18,8 @@
 	gatherTime = 800 * time.Millisecond
 	// longestFeed is how long the store may hold a call for changes.
 	longestFeed = 20 * time.Second
+	// feedGrace is how much longer than longestFeed the answer is waited for.
+	feedGrace = 2 * time.Second
 )
 
 // Follower keeps up with one table of the store; its exported fields are set before Run.
--- a/sidecar/register.go
+++ b/sidecar/register.go
@@ -34,7 +34,9 @@
 	}
 }
 
-// register writes the own row and then reads those of the others; a daemon that is not in the list yet will read the own row.
+// register writes the own row and then reads those of the others.
+//
+// In this order two daemons that start together can't miss each other: the one that reads last finds both rows.
 func (s *Sidecar) register(ctx context.Context) {
 	value, err := json.Marshal(registration{DataCentre: s.Settings.DataCentre})
 	if err != nil {
