perf: pace large answers to the capacity of the link

Change: bandwidth.Pacer sends large writes in turns, in order of arrival, at 0.9 of the link in parts of 10 ms; small writes pass. Answers to clients are encoded whole and written in one call.

--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// bufferSize is the size of the read and write buffers of a connection in bytes.
+	// bufferSize is the size of the read buffer of a connection in bytes.
 	bufferSize = 4 << 10
 	// maximumPipelined is the number of requests of one connection that are served at once.
 	maximumPipelined = 32
--- a/sidecar/ingress/server.go
+++ b/sidecar/ingress/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"siskinspar.example/sidecar/bandwidth"
 	"siskinspar.example/sidecar/listener"
 )
 
@@ -53,6 +54,8 @@
 	// Limits returns the bounds in force.
 	Limits func() Limits
 	Logger *slog.Logger
+	// Pacer paces large answers; nil paces nothing.
+	Pacer *bandwidth.Pacer
 
 	listener   *listener.Listener
 	isStopping atomic.Bool
--- a/sidecar/ingress/write.go
+++ b/sidecar/ingress/write.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bufio"
 	"bytes"
 	"io"
 	"net/http"
@@ -10,7 +9,7 @@
 
 // write sends the answers in the order of their requests.
 func (n *conn) write() {
-	w := bufio.NewWriterSize(n.Conn, bufferSize)
+	w := n.server.Pacer.Writer(n.Conn)
 	isBroken := false
 	for x := range n.queue {
 		response := <-x.response
@@ -46,7 +45,10 @@
 	_ = n.Close()
 }
 
-func (n *conn) send(w *bufio.Writer, x *exchange, response *Response, isLast bool) error {
+// headerSpace is the usual size of the headers of an answer in bytes.
+const headerSpace = 512
+
+func (n *conn) send(w io.Writer, x *exchange, response *Response, isLast bool) error {
 	if err := n.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
@@ -62,8 +64,11 @@
 	if method == http.MethodHead {
 		out.ContentLength = -1
 	}
-	if err := out.Write(w); err != nil {
+	var b bytes.Buffer
+	b.Grow(headerSpace + len(response.Body))
+	if err := out.Write(&b); err != nil {
 		return err
 	}
-	return w.Flush()
+	_, err := w.Write(b.Bytes())
+	return err
 }
--- a/sidecar/peer/conn.go
+++ b/sidecar/peer/conn.go
@@ -1,11 +1,14 @@
 package peer
 
 import (
+	"io"
 	"net"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"siskinspar.example/sidecar/bandwidth"
 )
 
 // writeTimeout bounds one write to another daemon.
@@ -22,6 +25,20 @@
 	return c.Conn.Write(p)
 }
 
+// pacedConn sends large messages at the pace of the link, in parts that are bounded in time each.
+type pacedConn struct {
+	boundedConn
+	paced io.Writer
+}
+
+func newPacedConn(c net.Conn, p *bandwidth.Pacer) pacedConn {
+	bounded := boundedConn{c}
+	return pacedConn{boundedConn: bounded, paced: p.Writer(bounded)}
+}
+
+// Write implements net.Conn.
+func (c pacedConn) Write(p []byte) (int, error) { return c.paced.Write(p) }
+
 // setUserTimeout ends a connection whose data is not acknowledged in time.
 func setUserTimeout(limit time.Duration) func(string, string, syscall.RawConn) error {
 	return func(_, _ string, c syscall.RawConn) error {
--- a/sidecar/peer/link.go
+++ b/sidecar/peer/link.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"siskinspar.example/sidecar/bandwidth"
 )
 
 const (
@@ -25,6 +27,8 @@
 // Link is the connection to one daemon; it is dialled on use and safe for concurrent use.
 type Link struct {
 	Address string
+	// Pacer paces large calls; nil paces nothing.
+	Pacer *bandwidth.Pacer
 
 	mu      sync.Mutex
 	client  *rpc.Client
@@ -125,7 +129,7 @@
 	if err != nil {
 		l.failed = time.Now()
 	} else {
-		l.client = rpc.NewClient(boundedConn{conn})
+		l.client = rpc.NewClient(newPacedConn(conn, l.Pacer))
 	}
 	l.mu.Unlock()
 	close(done)
--- a/sidecar/peer/pool.go
+++ b/sidecar/peer/pool.go
@@ -1,6 +1,10 @@
 package peer
 
-import "sync"
+import (
+	"sync"
+
+	"siskinspar.example/sidecar/bandwidth"
+)
 
 // Lane parts calls that may take long on the wire from the others.
 type Lane int
@@ -16,6 +20,9 @@
 
 // Pool holds the links to the other daemons; it is safe for concurrent use.
 type Pool struct {
+	// Pacer paces large calls; nil paces nothing. It is set before use.
+	Pacer *bandwidth.Pacer
+
 	mu    sync.Mutex
 	links map[string]*[laneCount]*Link
 }
@@ -29,16 +36,16 @@
 	}
 	links, ok := p.links[address]
 	if !ok {
-		links = newLinks(address)
+		links = p.newLinks(address)
 		p.links[address] = links
 	}
 	return links[lane]
 }
 
-func newLinks(address string) *[laneCount]*Link {
+func (p *Pool) newLinks(address string) *[laneCount]*Link {
 	var links [laneCount]*Link
 	for lane := range laneCount {
-		links[lane] = &Link{Address: address}
+		links[lane] = &Link{Address: address, Pacer: p.Pacer}
 	}
 	return &links
 }
--- a/sidecar/peer/server.go
+++ b/sidecar/peer/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"siskinspar.example/sidecar/bandwidth"
 	"siskinspar.example/sidecar/listener"
 )
 
@@ -20,6 +21,8 @@
 	// Service has the methods that net/rpc finds.
 	Service any
 	Logger  *slog.Logger
+	// Pacer paces large replies; nil paces nothing.
+	Pacer *bandwidth.Pacer
 
 	listener *listener.Listener
 	server   *rpc.Server
@@ -42,7 +45,7 @@
 	s.track(c, true)
 	go func() {
 		defer s.track(c, false)
-		s.server.ServeConn(boundedConn{c})
+		s.server.ServeConn(newPacedConn(c, s.Pacer))
 	}()
 }
 
--- a/sidecar/settings/settings.go
+++ b/sidecar/settings/settings.go
@@ -32,6 +32,8 @@
 	Seeds []netip.Addr
 	// MemoryBytes is the memory that the process may use, or 0.
 	MemoryBytes int64
+	// LinkBits is the capacity of the link of the instance in bits a second, or 0.
+	LinkBits float64
 	// Grace is how long the process may take to stop.
 	Grace time.Duration
 	// Repeats bounds how often requests arrive at a further backend server, over all daemons.
@@ -59,6 +61,9 @@
 	if s.Grace <= 0 {
 		faults = append(faults, eris.Errorf("grace: %v is not above 0", s.Grace))
 	}
+	if s.LinkBits < 0 {
+		faults = append(faults, eris.Errorf("link: %v bits a second is below 0", s.LinkBits))
+	}
 	if s.Repeats.Ratio < 0 || s.Repeats.Slack < 0 || s.Repeats.Window <= 0 {
 		faults = append(faults, eris.Errorf("repeats: out of range: %+v", s.Repeats))
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
 
+	"siskinspar.example/sidecar/bandwidth"
 	"siskinspar.example/sidecar/configuration"
 	"siskinspar.example/sidecar/discovery"
 	"siskinspar.example/sidecar/entry"
@@ -54,6 +55,7 @@
 	registry      metrics.Registry
 	configuration *configuration.Holder
 	members       *member.Table
+	pacer         *bandwidth.Pacer
 	pool          *peer.Pool
 	owner         *owner.Owner
 	quarantine    *Quarantine
@@ -73,7 +75,8 @@
 	s.members = member.NewTable()
 	s.quarantine = &Quarantine{}
 	s.configuration = &configuration.Holder{Decoder: s.Platform.Configuration, Logger: s.Logger}
-	s.pool = &peer.Pool{}
+	s.pacer = bandwidth.NewPacer(s.Settings.LinkBits)
+	s.pool = &peer.Pool{Pacer: s.pacer}
 	following, stopFollowing := context.WithCancel(context.Background())
 	defer stopFollowing()
 	s.startOwner()
@@ -158,8 +161,8 @@
 		Owners: owners, Quarantine: s.quarantine, Headers: s.Platform.Headers, Meter: meter{s.registry}, Logger: s.Logger, Random: random, Repeats: s.Settings.Repeats,
 		Placer: &placement.Placer{Address: s.Settings.Daemons, DataCentre: s.Settings.DataCentre, Random: random},
 	}
-	s.peers = &peer.Server{Address: s.Settings.Daemons, Service: &service{s}, Logger: s.Logger}
-	s.ingress = &ingress.Server{Address: s.Settings.Clients, Handler: handler, Limits: s.limits, Logger: s.Logger}
+	s.peers = &peer.Server{Address: s.Settings.Daemons, Service: &service{s}, Logger: s.Logger, Pacer: s.pacer}
+	s.ingress = &ingress.Server{Address: s.Settings.Clients, Handler: handler, Limits: s.limits, Logger: s.Logger, Pacer: s.pacer}
 	if err := s.peers.Run(); err != nil {
 		return err
 	}
