perf: start large answers only when the link has room, own instance first

Slots went on making answers that came late.

Change: slot.Controller starts a job with a large answer when the link, with the answers of running jobs, is at most 200 ms behind once its own is ready; others pass it. Its target and deadline are less by the time on the links. A load states the backlog of its link and placement compares it. A request that entered at the instance is exempt: its answer leaves over the link once anyway.

--- a/sidecar/bandwidth/pacer.go
+++ b/sidecar/bandwidth/pacer.go
@@ -8,7 +8,7 @@
 
 const (
 	// linkShare is the share of the link that is used, so that its queue empties again.
-	linkShare = 0.9
+	linkShare = 0.95
 	// stepTime is the time on the link of the part of a large write that is sent at once.
 	stepTime    = 10 * time.Millisecond
 	bitsPerByte = 8
@@ -41,6 +41,14 @@
 	return p.schedule.Backlog(now)
 }
 
+// Duration returns how long a write of some bytes takes.
+func (p *Pacer) Duration(size int) time.Duration {
+	if p == nil {
+		return 0
+	}
+	return p.schedule.Duration(size)
+}
+
 // Writer returns a writer that takes its turn on the link with each large write; small writes don't wait.
 func (p *Pacer) Writer(w io.Writer) io.Writer {
 	if p == nil {
--- a/sidecar/entry/life.go
+++ b/sidecar/entry/life.go
@@ -126,26 +126,14 @@
 }
 
 // place finds a backend server: one with a free slot, or the first of several that grants one.
-//
-// A request with a large answer first waits in the own data centre only.
 func (h *Handler) place(ctx context.Context, c *call, now time.Time, mayOffer bool) (place, bool) {
 	candidates := h.Directory.Candidates(now, c.service)
-	isBulk := c.route.Kind() == route.Download
-	if isBulk {
-		if p, ok := h.placeAmong(ctx, c, now, h.Placer.Near(candidates), mayOffer); ok {
-			return p, true
-		}
-	}
-	return h.placeAmong(ctx, c, now, candidates, mayOffer)
-}
-
-func (h *Handler) placeAmong(ctx context.Context, c *call, now time.Time, candidates []member.Candidate, mayOffer bool) (place, bool) {
 	count := queueCount
+	isBulk := c.route.Kind() == route.Download
 	if len(candidates) > manyServers {
 		count = sampleCount
 	}
 	h.mu.Lock()
-	isBulk := c.route.Kind() == route.Download
 	free, ok := h.Placer.Free(now, candidates, c.tried, isBulk)
 	queues := h.Placer.Queues(now, candidates, c.tried, count, isBulk)
 	h.mu.Unlock()
--- a/sidecar/member/record.go
+++ b/sidecar/member/record.go
@@ -49,6 +49,8 @@
 	Slots   int
 	// Failing is the share of its latest requests that the backend server failed or turned away.
 	Failing float64
+	// Backlog is how long a large answer would wait for the link of the instance.
+	Backlog time.Duration
 }
 
 // IsFree reports whether a request would start at once.
--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -8,6 +8,7 @@
 
 	"siskinspar.example/sidecar/member"
 	"siskinspar.example/sidecar/message"
+	"siskinspar.example/sidecar/route"
 	"siskinspar.example/sidecar/slot"
 	"siskinspar.example/sidecar/upstream"
 )
@@ -20,7 +21,7 @@
 		defer o.mu.Unlock()
 		return message.Grant{Reason: reason, Load: o.load()}
 	}
-	j := newJob(now, q)
+	j := o.newJob(now, q)
 	t, verdict, reason := o.slots.Arrive(now, j, true)
 	if verdict == slot.Refuse {
 		defer o.mu.Unlock()
@@ -42,10 +43,12 @@
 	return message.Grant{Ticket: uint64(t), Load: o.load()}
 }
 
-func newJob(now time.Time, q message.Job) slot.Job {
+func (o *Owner) newJob(now time.Time, q message.Job) slot.Job {
+	// The answer to a request that entered here leaves over the link once, whichever backend server gives it.
+	isBulk := q.Kind == route.Download && q.Entry != o.Address
 	return slot.Job{
 		Class: q.Route, Priority: q.Priority,
-		Target: now.Add(q.Target), Deadline: now.Add(q.Deadline), Share: q.Share,
+		Target: now.Add(q.Target), Deadline: now.Add(q.Deadline), Share: q.Share, IsBulk: isBulk,
 	}
 }
 
@@ -103,7 +106,7 @@
 	if reason := o.check(now, c.Job); reason != "" {
 		return nil, nil, reason
 	}
-	t, verdict, reason := o.slots.Arrive(now, newJob(now, c.Job), false)
+	t, verdict, reason := o.slots.Arrive(now, o.newJob(now, c.Job), false)
 	if verdict != slot.Run {
 		return nil, nil, string(reason)
 	}
@@ -150,6 +153,9 @@
 	defer o.mu.Unlock()
 	o.forget(j)
 	if reply.Outcome == message.Ran {
+		if c.Job.Kind == route.Download && o.Link != nil {
+			o.slots.NoteSize(c.Job.Route, len(reply.Answer.Body))
+		}
 		o.notify(o.slots.Finish(now, j.ticket))
 	} else {
 		o.notify(o.slots.Release(now, j.ticket))
--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -46,10 +46,14 @@
 type Owner struct {
 	Logger  *slog.Logger
 	Headers Headers
+	// Address is where other daemons reach this one.
+	Address string
 	// Connections returns the number of connections that a backend server of a service accepts.
 	Connections func(service string) int
 	// Queued is the number of requests beyond its slots that wait at the backend server itself.
 	Queued int
+	// Link is the outgoing link of the instance.
+	Link slot.Link
 	// OnChange is called after the backend server has changed.
 	OnChange func()
 	// OnDial is called for each connection that is opened to the backend server.
@@ -85,6 +89,7 @@
 // Run starts the periodic look at waiting requests.
 func (o *Owner) Run() {
 	o.slots = slot.NewController()
+	o.slots.Link = o.Link
 	o.jobs = map[key]*job{}
 	o.tickets = map[slot.Ticket]*job{}
 	o.done = make(chan struct{})
@@ -137,7 +142,10 @@
 }
 
 func (o *Owner) load() member.Load {
-	return member.Load{Running: o.slots.Running(), Waiting: o.slots.Waiting(), Slots: o.slots.Slots(), Failing: o.failing.share(time.Now())}
+	return member.Load{
+		Running: o.slots.Running(), Waiting: o.slots.Waiting(), Slots: o.slots.Slots(),
+		Failing: o.failing.share(time.Now()), Backlog: o.slots.Backlog(time.Now()),
+	}
 }
 
 // Announce takes in what the backend server says of itself and reports whether it changed anything.
--- a/sidecar/placement/placement_test.go
+++ b/sidecar/placement/placement_test.go
@@ -86,6 +86,19 @@
 	assert.Equal(t, queues[0].Address, "wide")
 }
 
+func TestLargeAnswersAvoidAFullLinkButForTheOwn(t *testing.T) {
+	full, empty, own := candidate("full", "a", 0), candidate("empty", "a", 4), candidate("own", "a", 4)
+	full.Load.Backlog, own.Load.Backlog = time.Second, time.Second
+	found, _ := newPlacer().Free(now, []member.Candidate{full, empty}, nil, true)
+	assert.Equal(t, found.Address, "empty")
+	found, _ = newPlacer().Free(now, []member.Candidate{full, empty, own}, nil, true)
+	assert.Equal(t, found.Address, "own", "an answer that is made here leaves over the own link once")
+	found, _ = newPlacer().Free(now, []member.Candidate{full, empty}, nil, false)
+	assert.Equal(t, found.Address, "full", "small answers don't mind")
+	queues := newPlacer().Queues(now, []member.Candidate{full, empty}, nil, 1, true)
+	assert.Equal(t, queues[0].Address, "empty")
+}
+
 func TestOldLoadsDontSendAllToTheSamePlace(t *testing.T) {
 	var many []member.Candidate
 	for i := range 60 {
--- a/sidecar/placement/placer.go
+++ b/sidecar/placement/placer.go
@@ -28,6 +28,8 @@
 	bulkDistance = 150 * time.Millisecond
 	// nearby is what another instance of the own data centre adds.
 	nearby = 2 * time.Millisecond
+	// maximumBacklog is the wait for the link of an instance with which it gets no further large answer unasked.
+	maximumBacklog = 400 * time.Millisecond
 	// loadLifetime is how long a load that an owner stated counts.
 	loadLifetime = 500 * time.Millisecond
 	// unknownFill stands in for the load of a backend server that has not stated one lately.
@@ -115,7 +117,7 @@
 	usable := p.usable(now, from, tried)
 	p.Random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
 	for _, c := range usable {
-		if !c.Load.IsFree() {
+		if !c.Load.IsFree() || isBulk && c.Address != p.Address && c.Load.Backlog > maximumBacklog {
 			continue
 		}
 		t := p.expected(c, isBulk)
@@ -126,17 +128,6 @@
 	return best, found
 }
 
-// Near returns the candidates of the own data centre.
-func (p *Placer) Near(from []member.Candidate) []member.Candidate {
-	var near []member.Candidate
-	for _, c := range from {
-		if c.DataCentre == p.DataCentre {
-			near = append(near, c)
-		}
-	}
-	return near
-}
-
 // Queues returns up to count backend servers at which a request should wait, the most promising first.
 func (p *Placer) Queues(now time.Time, from []member.Candidate, tried []string, count int, isBulk bool) []member.Candidate {
 	usable := p.usable(now, from, tried)
@@ -150,9 +141,14 @@
 	return usable[:count]
 }
 
-// queueing compares the waits at backend servers: the work ahead for each slot, by their pace.
-func (p *Placer) queueing(c member.Candidate, isBulk bool) float64 {
-	return fillOf(c) * p.paceOf(c.Server.ID, isBulk)
+// queueing compares the waits at backend servers: the work ahead for each slot, by their pace, and for large answers the
+// way to this instance.
+func (p *Placer) queueing(c member.Candidate, isBulk bool) time.Duration {
+	t := time.Duration(float64(neutralTime) * fillOf(c) * p.paceOf(c.Server.ID, isBulk))
+	if isBulk {
+		t += p.away(c, isBulk)
+	}
+	return t
 }
 
 // fillOf returns the work at a backend server for each slot; where the load is old, daemons that all believe it would
@@ -186,13 +182,20 @@
 func (p *Placer) expected(c member.Candidate, isBulk bool) time.Duration {
 	pace := p.paceOf(c.Server.ID, isBulk)
 	t := time.Duration(float64(neutralTime) * pace * (1 + crowding*fillOf(c)))
+	return t + p.away(c, isBulk)
+}
+
+// away returns what the way to a backend server and back adds to the time of a request.
+func (p *Placer) away(c member.Candidate, isBulk bool) time.Duration {
 	switch {
 	case c.Address == p.Address:
-		return t
+		return 0
+	case c.DataCentre == p.DataCentre && isBulk:
+		return nearby + c.Load.Backlog
 	case c.DataCentre == p.DataCentre:
-		return t + nearby
+		return nearby
 	case isBulk:
-		return t + bulkDistance
+		return bulkDistance + c.Load.Backlog
 	}
-	return t + distance
+	return distance
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -104,7 +104,7 @@
 
 func (s *Sidecar) startOwner() {
 	s.owner = &owner.Owner{
-		Logger: s.Logger, Headers: s.Platform.Headers, Queued: queuedRequests, OnChange: s.announce,
+		Logger: s.Logger, Headers: s.Platform.Headers, Address: s.Settings.Daemons, Queued: queuedRequests, OnChange: s.announce, Link: s.pacer,
 		Connections: func(service string) int {
 			if t := s.configuration.Table(); t != nil {
 				return t.Connections(service)
--- a/sidecar/slot/controller.go
+++ b/sidecar/slot/controller.go
@@ -24,19 +24,24 @@
 	lapses time.Time
 }
 
-// Controller guards the slots of one backend server.
+// Controller guards the slots of one backend server and the link over which its large answers leave.
 type Controller struct {
+	// Link is set before use, or nil for one without bounds.
+	Link Link
+
 	slots      int
 	isDraining bool
 	running    map[Ticket]*running
 	queue      []waiting
 	times      estimates
-	next       Ticket
+	// sendTimes are the times that the large answers of each class take on the link.
+	sendTimes estimates
+	next      Ticket
 }
 
 // NewController returns a controller without slots.
 func NewController() *Controller {
-	return &Controller{running: map[Ticket]*running{}, times: estimates{}}
+	return &Controller{running: map[Ticket]*running{}, times: estimates{}, sendTimes: estimates{}}
 }
 
 // SetSlots changes the number of slots; running jobs keep theirs.
@@ -77,6 +82,7 @@
 	c.isDraining = false
 	c.slots = slots
 	c.times = estimates{}
+	c.sendTimes = estimates{}
 	return notices
 }
 
@@ -86,7 +92,8 @@
 		return 0, Refuse, ReasonDraining
 	}
 	c.next++
-	if len(c.running) < c.slots && len(c.queue) == 0 {
+	j = c.allowForSending(now, j)
+	if len(c.running) < c.slots && c.mayStart(now, j) && c.first(now) < 0 {
 		c.running[c.next] = &running{job: j, started: now}
 		return c.next, Run, ""
 	}
@@ -140,7 +147,7 @@
 			urgent++
 		}
 	}
-	return time.Duration(ahead / float64(max((c.slots+1)/2, c.slots-urgent)))
+	return max(time.Duration(ahead/float64(max((c.slots+1)/2, c.slots-urgent))), c.linkWait(now, j))
 }
 
 // Hold frees the slot of a job unless its request comes in before the given time.
@@ -185,8 +192,13 @@
 // Advance refuses jobs that have waited too long, frees lapsed slots and fills the free ones.
 func (c *Controller) Advance(now time.Time) []Notice {
 	notices := c.expire(now)
-	for len(c.running) < c.slots && len(c.queue) > 0 {
-		w := c.take(now)
+	for len(c.running) < c.slots {
+		next := c.first(now)
+		if next < 0 {
+			break
+		}
+		w := c.queue[next]
+		c.queue = slices.Delete(c.queue, next, next+1)
 		c.running[w.ticket] = &running{job: w.job, started: now}
 		notices = append(notices, Notice{ticket: w.ticket})
 	}
@@ -223,15 +235,16 @@
 // request waits for it whose work would be lost.
 func isShort(arrived time.Time, j Job) bool { return j.Deadline.Sub(arrived) <= shortDeadline }
 
-// take removes the job that comes next from the queue.
-func (c *Controller) take(now time.Time) waiting {
-	best := 0
-	for i := range c.queue {
-		if compare(now, c.times, c.queue[i].job, c.queue[best].job) < 0 {
+// first returns the place in the queue of the job that comes next, or -1 if none may start.
+func (c *Controller) first(now time.Time) int {
+	best := -1
+	for i, w := range c.queue {
+		if !c.mayStart(now, w.job) {
+			continue
+		}
+		if best < 0 || compare(now, c.times, w.job, c.queue[best].job) < 0 {
 			best = i
 		}
 	}
-	w := c.queue[best]
-	c.queue = slices.Delete(c.queue, best, best+1)
-	return w
+	return best
 }
--- a/sidecar/slot/estimate.go
+++ b/sidecar/slot/estimate.go
@@ -19,6 +19,7 @@
 	return initialTime
 }
 
+// note takes in a new time.
 func (e estimates) note(class string, took time.Duration) {
 	mean, ok := e[class]
 	if !ok {
--- a/sidecar/slot/job.go
+++ b/sidecar/slot/job.go
@@ -18,6 +18,8 @@
 	Target time.Time
 	// Deadline is when an answer stops being of use.
 	Deadline time.Time
+	// IsBulk is true for a job with a large answer that leaves over the link.
+	IsBulk bool
 	// Share is the part of the request that waits here; a request that waits at four places has 0.25 at each.
 	Share float64
 }
