perf: count what a client has waited before towards the target

Those with less than 600 ms left were even taken for nested calls, which may wait until their deadline.

Ruled out: the largest deadline seen as the usual one (a few clients wait longer); a fixed list of routes.

Change: placement.Patience learns the 90th percentile of the stated deadlines of a route; what a request has less was spent before. Nested calls are routes whose usual patience is at most 600 ms, decided by the entry daemon and told to the owner, in place of the time left of the single request.

--- a/sidecar/entry/handler.go
+++ b/sidecar/entry/handler.go
@@ -91,10 +91,11 @@
 	Repeats       placement.Allowance
 	Random        *rand.Rand
 
-	number  atomic.Uint64
-	mu      sync.Mutex
-	budgets map[string]*placement.Budget
-	usual   map[string]time.Duration
+	number   atomic.Uint64
+	mu       sync.Mutex
+	budgets  map[string]*placement.Budget
+	patience map[string]*placement.Patience
+	usual    map[string]time.Duration
 }
 
 // smoothing is the weight of a new time in the usual time of a route.
@@ -151,9 +152,11 @@
 	}
 	h.mu.Lock()
 	service := matched.Service(h.Random.Float64())
+	used, isNested := h.notePatience(matched.Name(), deadline)
 	h.mu.Unlock()
 	return &call{
-		route: matched, service: service, expires: r.Arrived.Add(limit), leaves: r.Arrived.Add(leaves), target: r.Arrived.Add(target),
+		route: matched, service: service, expires: r.Arrived.Add(limit), leaves: r.Arrived.Add(leaves),
+		target: r.Arrived.Add(target - used), isNested: isNested,
 		request: message.Request{
 			ID: id, Method: r.Method, Target: r.RequestURI, Host: r.Host,
 			Header: h.Headers.Forwarded(r.Header), Body: r.Content, Caller: h.Service,
@@ -161,6 +164,24 @@
 	}
 }
 
+// notePatience returns how long the client of a request has waited before, and whether another request waits for this
+// one; the lock is held.
+func (h *Handler) notePatience(route string, left time.Duration) (used time.Duration, isNested bool) {
+	if left <= 0 {
+		return 0, false
+	}
+	if h.patience == nil {
+		h.patience = map[string]*placement.Patience{}
+	}
+	p, ok := h.patience[route]
+	if !ok {
+		p = &placement.Patience{}
+		h.patience[route] = p
+	}
+	p.Note(left)
+	return p.Used(left), p.IsNested(left)
+}
+
 // defaultTimeout bounds a request for which neither its client nor its route states a limit.
 const defaultTimeout = 15 * time.Second
 
--- a/sidecar/entry/life.go
+++ b/sidecar/entry/life.go
@@ -36,6 +36,8 @@
 	// leaves is when the client stops waiting.
 	leaves time.Time
 	target time.Time
+	// isNested is true for a request that another request waits for.
+	isNested bool
 	// tried lists the IDs of the backend servers that failed or refused the request.
 	tried []string
 	// arrivals is the number of backend servers that the request reached.
@@ -272,6 +274,6 @@
 	now := time.Now()
 	return message.Job{
 		Number: h.number.Add(1), Entry: h.Address, Server: to.Server.ID, Route: c.route.Name(), Priority: c.route.Priority(),
-		Kind: c.route.Kind(), Target: c.target.Sub(now), Deadline: c.expires.Sub(now), Share: share,
+		Kind: c.route.Kind(), IsNested: c.isNested, Target: c.target.Sub(now), Deadline: c.expires.Sub(now), Share: share,
 	}
 }
--- a/sidecar/message/message.go
+++ b/sidecar/message/message.go
@@ -56,6 +56,8 @@
 	Route    string
 	Priority int
 	Kind     route.Kind
+	// IsNested is true for a request that another request waits for.
+	IsNested bool
 	// Target and Deadline are the times left until the answer is late, and until it is of no use.
 	Target   time.Duration
 	Deadline time.Duration
--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -48,7 +48,7 @@
 	isBulk := q.Kind == route.Download && q.Entry != o.Address
 	return slot.Job{
 		Class: q.Route, Priority: q.Priority,
-		Target: now.Add(q.Target), Deadline: now.Add(q.Deadline), Share: q.Share, IsBulk: isBulk,
+		Target: now.Add(q.Target), Deadline: now.Add(q.Deadline), Share: q.Share, IsBulk: isBulk, IsNested: q.IsNested,
 	}
 }
 
--- /dev/null
+++ b/sidecar/placement/patience_test.go
@@ -0,0 +1,41 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinspar.example/sidecar/placement"
+)
+
+func TestWhatAClientHasWaitedShows(t *testing.T) {
+	p := &placement.Patience{}
+	assert.Equal(t, p.Used(time.Second), time.Duration(0), "nothing is known yet")
+	for i := range 64 {
+		left := time.Second
+		switch {
+		case i%2 == 0:
+			// Half of the requests have come again.
+			left = 600 * time.Millisecond
+		case i%31 == 0:
+			left = 9 * time.Second
+		}
+		p.Note(left)
+	}
+	assert.Equal(t, p.Used(600*time.Millisecond), 400*time.Millisecond)
+	assert.Equal(t, p.Used(time.Second), time.Duration(0))
+	assert.Equal(t, p.Used(9*time.Second), time.Duration(0))
+	assert.Assert(t, !p.IsNested(500*time.Millisecond), "one that came again is no nested call")
+}
+
+func TestNestedCallsShowByTheirPatience(t *testing.T) {
+	p := &placement.Patience{}
+	assert.Assert(t, p.IsNested(500*time.Millisecond))
+	assert.Assert(t, !p.IsNested(3*time.Second))
+	for i := range 64 {
+		p.Note(time.Duration(i) * 500 * time.Millisecond / 64)
+	}
+	assert.Assert(t, p.IsNested(200*time.Millisecond))
+	assert.Equal(t, p.Used(200*time.Millisecond), time.Duration(0), "its time is that of the request that waits for it")
+}
--- a/sidecar/slot/controller.go
+++ b/sidecar/slot/controller.go
@@ -10,8 +10,6 @@
 	usefulShare = 0.9
 	// lateWait bounds the wait of a job that misses its target in any case.
 	lateWait = 250 * time.Millisecond
-	// shortDeadline is the longest deadline of a job that may wait until then, late or not.
-	shortDeadline = 600 * time.Millisecond
 	// lateExpectation is the longest expected wait with which such a job is taken in.
 	lateExpectation = 120 * time.Millisecond
 )
@@ -116,7 +114,7 @@
 	if float64(wait+c.times.of(j.Class)) > usefulShare*float64(j.Deadline.Sub(now)) {
 		return true
 	}
-	if isShort(now, j) {
+	if j.IsNested {
 		return false
 	}
 	if isLate(now, c.times, j) {
@@ -228,13 +226,9 @@
 	if now.Add(c.times.of(w.job.Class)).After(w.job.Deadline) {
 		return true
 	}
-	return !isShort(w.arrived, w.job) && isLate(now, c.times, w.job) && now.Sub(w.arrived) > lateWait
+	return !w.job.IsNested && isLate(now, c.times, w.job) && now.Sub(w.arrived) > lateWait
 }
 
-// isShort reports whether a job may wait until its deadline, late or not: it has little time, mostly since another
-// request waits for it whose work would be lost.
-func isShort(arrived time.Time, j Job) bool { return j.Deadline.Sub(arrived) <= shortDeadline }
-
 // first returns the place in the queue of the job that comes next, or -1 if none may start.
 func (c *Controller) first(now time.Time) int {
 	best := -1
--- a/sidecar/slot/job.go
+++ b/sidecar/slot/job.go
@@ -20,6 +20,8 @@
 	Deadline time.Time
 	// IsBulk is true for a job with a large answer that leaves over the link.
 	IsBulk bool
+	// IsNested is true for a job that another request waits for; it may wait until its deadline, late or not.
+	IsNested bool
 	// Share is the part of the request that waits here; a request that waits at four places has 0.25 at each.
 	Share float64
 }
