fix: ask a store that was lost with short calls until it answers

A store that takes calls without answering held the follower's repeated feed call for up to 22 s, and a list for 3 s plus a pause of up to 1.5 s.

Transfers between daemons keep 3 s.

Test: TestAStoreThatWasSilentIsReadWithinThreeSeconds, 40 phases of the outage in virtual time; without the change the version is not read within 20 s.

--- a/sidecar/discovery/discovery_test.go
+++ b/sidecar/discovery/discovery_test.go
@@ -124,6 +124,65 @@
 	}
 }
 
+// silent is a store that takes calls without answering them until it returns.
+type silent struct {
+	began, returns time.Time
+	calls          int
+}
+
+func (s *silent) answer(ctx context.Context, p discovery.Page) (discovery.Page, error) {
+	s.calls++
+	if time.Now().Before(s.returns) {
+		<-ctx.Done()
+		return discovery.Page{}, ctx.Err()
+	}
+	return p, nil
+}
+
+func (s *silent) List(ctx context.Context, _ string) (discovery.Page, error) {
+	if time.Now().Equal(s.began) {
+		return page(5, "a"), nil
+	}
+	return s.answer(ctx, page(6, "b"))
+}
+
+func (s *silent) Feed(ctx context.Context, _ string, after uint64, wait time.Duration) (discovery.Page, error) {
+	if s.calls == 0 {
+		// The connection of the call that was under way ends while the store is away.
+		s.calls++
+		time.Sleep(4 * time.Second)
+		return discovery.Page{}, errDown
+	}
+	if after < 6 {
+		return s.answer(ctx, page(6, "b"))
+	}
+	<-ctx.Done()
+	return discovery.Page{}, ctx.Err()
+}
+
+func (s *silent) Put(context.Context, string, string, []byte) error { return nil }
+
+func TestAStoreThatWasSilentIsReadWithinThreeSeconds(t *testing.T) {
+	for phase := range 40 {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s := &silent{began: time.Now(), returns: time.Now().Add(8*time.Second + time.Duration(phase)*100*time.Millisecond)}
+			var read time.Time
+			f := &discovery.Follower{Table: "t", Store: s, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), OnRows: func(rows []discovery.Row) {
+				if rows[0].Key == "b" {
+					read = time.Now()
+				}
+			}}
+			f.Run(ctx)
+			time.Sleep(20 * time.Second)
+			cancel()
+			<-f.Done()
+			assert.Assert(t, !read.IsZero(), "phase %d: never read", phase)
+			assert.Assert(t, read.Sub(s.returns) <= 3*time.Second, "phase %d: read after %v", phase, read.Sub(s.returns))
+		})
+	}
+}
+
 func TestAStormOfChangesCostsFewCalls(t *testing.T) {
 	feeds := make([]step, 1000)
 	for i := range feeds {
--- a/sidecar/discovery/follower.go
+++ b/sidecar/discovery/follower.go
@@ -9,11 +9,12 @@
 )
 
 const (
-	// listTimeout bounds the read of a table.
-	listTimeout = 3 * time.Second
+	// readTimeout bounds a call that the store answers at once. With the longest pause it keeps the first answer after an
+	// outage within three seconds: a call that was under way when the store came back may never be answered.
+	readTimeout = 1200 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failed call.
 	firstPause   = 100 * time.Millisecond
-	longestPause = time.Second
+	longestPause = 800 * time.Millisecond
 	// gatherTime joins changes in quick succession to one call.
 	gatherTime = 800 * time.Millisecond
 	// longestFeed is how long the store may hold a call for changes.
@@ -75,13 +76,18 @@
 
 func (f *Follower) next(ctx context.Context, version uint64, isListed bool) (Page, error) {
 	if !isListed {
-		limited, cancel := context.WithTimeout(ctx, listTimeout)
+		limited, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		return f.Store.List(limited, f.Table)
 	}
-	limited, cancel := context.WithTimeout(ctx, longestFeed+feedGrace)
+	wait, limit := longestFeed, longestFeed+feedGrace
+	if f.isDown {
+		// A store that takes calls without answering them would hold a long call far beyond its return.
+		wait, limit = 0, readTimeout
+	}
+	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return f.Store.Feed(limited, f.Table, version, longestFeed)
+	return f.Store.Feed(limited, f.Table, version, wait)
 }
 
 func (f *Follower) lose(ctx context.Context, err error) {
--- a/sidecar/discovery/prober.go
+++ b/sidecar/discovery/prober.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// fetchTimeout bounds the transfer of a configuration or a list of daemons from another daemon.
+	fetchTimeout = 3 * time.Second
 	// probePeriod is the time from one round of probes to the next.
 	probePeriod = 700 * time.Millisecond
 	// probesPerRound bounds the daemons that are probed in one round; in a large mesh each waits for its turn.
@@ -213,7 +215,7 @@
 }
 
 func (p *Prober) fetch(ctx context.Context, address string) {
-	limited, cancel := context.WithTimeout(ctx, listTimeout)
+	limited, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var d message.Document
 	if err := p.Pool.Link(address, peer.LaneBulk).Call(limited, peer.ServiceName+".Configuration", &message.Empty{}, &d); err != nil {
@@ -224,7 +226,7 @@
 }
 
 func (p *Prober) fetchMembers(ctx context.Context, address string) {
-	limited, cancel := context.WithTimeout(ctx, listTimeout)
+	limited, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var addresses []string
 	if err := p.Pool.Link(address, peer.LaneControl).Call(limited, peer.ServiceName+".Members", &message.Empty{}, &addresses); err != nil {
