perf: let large answers wait in their data centre before they cross

Ruled out: a larger distance alone; it does not keep a request that has to wait from crossing.

Change: the own data centre is asked first again, also for a wait; the others when those refuse. With the guard of links this no longer holds answers up.

--- a/sidecar/entry/life.go
+++ b/sidecar/entry/life.go
@@ -128,8 +128,19 @@
 }
 
 // place finds a backend server: one with a free slot, or the first of several that grants one.
+//
+// A request with a large answer waits in the own data centre first: the bytes between data centres are dear.
 func (h *Handler) place(ctx context.Context, c *call, now time.Time, mayOffer bool) (place, bool) {
 	candidates := h.Directory.Candidates(now, c.service)
+	if c.route.Kind() == route.Download {
+		if p, ok := h.placeAmong(ctx, c, h.Placer.Near(candidates), now, mayOffer); ok {
+			return p, true
+		}
+	}
+	return h.placeAmong(ctx, c, candidates, now, mayOffer)
+}
+
+func (h *Handler) placeAmong(ctx context.Context, c *call, candidates []member.Candidate, now time.Time, mayOffer bool) (place, bool) {
 	count := queueCount
 	isBulk := c.route.Kind() == route.Download
 	if len(candidates) > manyServers {
--- a/sidecar/placement/placer.go
+++ b/sidecar/placement/placer.go
@@ -128,6 +128,17 @@
 	return best, found
 }
 
+// Near returns the candidates of the own data centre.
+func (p *Placer) Near(from []member.Candidate) []member.Candidate {
+	var near []member.Candidate
+	for _, c := range from {
+		if c.DataCentre == p.DataCentre {
+			near = append(near, c)
+		}
+	}
+	return near
+}
+
 // Queues returns up to count backend servers at which a request should wait, the most promising first.
 func (p *Placer) Queues(now time.Time, from []member.Candidate, tried []string, count int, isBulk bool) []member.Candidate {
 	usable := p.usable(now, from, tried)
