feat: send idempotent requests to a second owner when answers take long

After three times the usual time of the route a second owner with a free slot gets the request, within the attempts of the route and only from the upper half of the saved allowance (Budget.SpendSpare), so that requests that failed keep theirs. The first answer counts, the other run is given up. A failure that one server answered goes before an unknown outcome of the other.

--- a/sidecar/entry/handler_test.go
+++ b/sidecar/entry/handler_test.go
@@ -33,6 +33,8 @@
 	reply  message.Reply
 	isSent bool
 	err    error
+	// delay is how long the owner takes.
+	delay time.Duration
 }
 
 // mesh plays owners: each call takes the next step.
@@ -63,16 +65,29 @@
 func (m *mesh) NoteLoad(time.Time, string, member.Load) {}
 func (m *mesh) NoteUnreachable(string)                  {}
 func (m *mesh) NoteSent(string)                         {}
-func (m *mesh) Call(_ context.Context, address string, _ *message.Call) (message.Reply, bool, error) {
+func (m *mesh) Call(ctx context.Context, address string, _ *message.Call) (message.Reply, bool, error) {
+	s := m.next(address)
+	if s.delay == 0 {
+		return s.reply, s.isSent, s.err
+	}
+	select {
+	case <-time.After(s.delay):
+		return s.reply, s.isSent, s.err
+	case <-ctx.Done():
+		return message.Reply{}, true, ctx.Err()
+	}
+}
+
+func (m *mesh) next(address string) step {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.called = append(m.called, address)
 	if len(m.steps) == 0 {
-		return ran(http.StatusOK).reply, true, nil
+		return ran(http.StatusOK)
 	}
 	s := m.steps[0]
 	m.steps = m.steps[1:]
-	return s.reply, s.isSent, s.err
+	return s
 }
 func (m *mesh) Reserve(_ context.Context, _ string, j message.Job) (message.Grant, error) {
 	if m.isFull {
@@ -124,6 +139,13 @@
 	return &ingress.Request{Request: &http.Request{Method: http.MethodGet, URL: u, RequestURI: path, Host: "a", Header: http.Header{"Request-Id": {"r"}, "Deadline-Ms": {"5000"}}}, Arrived: time.Now()}
 }
 
+// arriving returns a request that comes in now.
+func arriving(path string) *ingress.Request {
+	r := request(path)
+	r.Arrived = time.Now()
+	return r
+}
+
 func TestWhatAClientGets(t *testing.T) {
 	silent := step{isSent: true, err: errSilent}
 	unreachable := step{err: errSilent}
--- a/sidecar/entry/life.go
+++ b/sidecar/entry/life.go
@@ -161,30 +161,19 @@
 
 // offer sends the request to one owner; done is false when it may be offered again.
 func (h *Handler) offer(ctx context.Context, c *call, p place) (done bool, e end) {
-	to := p.at
-	c.owner = to.Address
-	p.job.Deadline = time.Until(c.expires)
-	m := &message.Call{Job: p.job, Ticket: p.ticket, Request: c.request}
-	limited, cancel := context.WithDeadline(ctx, c.expires.Add(answerGrace))
-	defer cancel()
-	h.Directory.NoteSent(to.Address)
-	started := time.Now()
-	reply, isSent, err := h.Owners.Call(limited, to.Address, m)
-	now := time.Now()
-	if err != nil {
-		reply = h.lost(ctx, c, to, m, isSent)
-		c.reason = err.Error()
-	} else {
-		h.Directory.NoteLoad(now, to.Address, reply.Load)
+	s := h.exchange(ctx, c, p)
+	c.owner = s.to.Address
+	if s.reason != "" {
+		c.reason = s.reason
 	}
-	switch reply.Outcome {
+	switch s.reply.Outcome {
 	case message.Ran:
-		return h.answered(c, to, reply, now.Sub(started))
+		return h.answered(c, s.to, s.reply, s.took)
 	case message.NotRun:
-		h.notRun(c, to, reply, isSent)
+		h.notRun(c, s.to, s.reply, s.isSent)
 		return false, end{}
 	}
-	return h.unknown(ctx, c, to, reply)
+	return h.unknown(ctx, c, s.to, s.reply)
 }
 
 // lost tells what is known of a call without a reply.
@@ -246,13 +235,13 @@
 	if reply.IsCrash {
 		h.Quarantine.NoteCrash(c.fingerprint, reply.Incarnation)
 	}
-	if reply.IsExpired || !time.Now().Before(c.expires) {
+	if c.failed == nil && (reply.IsExpired || !time.Now().Before(c.expires)) {
 		return true, h.giveUp(c, message.Unknown, http.StatusGatewayTimeout, reply.Reason)
 	}
 	if c.route.Kind().IsRepeatable() && h.mayRepeat(c, to) && !h.Quarantine.IsStopped(c.fingerprint) {
 		return false, end{}
 	}
-	return true, h.giveUp(c, message.Unknown, http.StatusBadGateway, reply.Reason)
+	return true, h.finish(c)
 }
 
 // mayRepeat reports whether the request may reach another backend server, and counts it.
--- a/sidecar/placement/budget.go
+++ b/sidecar/placement/budget.go
@@ -48,6 +48,17 @@
 	return true
 }
 
+// SpendSpare reports whether a request may be sent once more that has not failed, and counts it; half of the saved credit
+// is left for requests that failed.
+func (b *Budget) SpendSpare(now time.Time, daemons int) bool {
+	b.refill(now, daemons)
+	if b.credit < (1+b.maximum(daemons))/2 {
+		return false
+	}
+	b.credit--
+	return true
+}
+
 // maximum bounds the further arrivals that are saved up; one is always possible.
 func (b *Budget) maximum(daemons int) float64 {
 	return 1 + burstShare*b.Allowance.Slack/float64(max(1, daemons))
