--- a/sidecar/entry/hedge_test.go
+++ b/sidecar/entry/hedge_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"siskinspar.example/sidecar/entry"
 	"siskinspar.example/sidecar/route"
 )
 
@@ -19,11 +20,17 @@
 	return s
 }
 
-// learn lets the handler know the usual time of the route.
-func learn(m *mesh) {
+// newLearnedHandler returns a handler that knows the usual time of the route and has saved up its allowance.
+func newLearnedHandler(t *testing.T, m *mesh, kind route.Kind) *entry.Handler {
+	t.Helper()
+	h := newHandler(t, m, kind)
 	for range 20 {
-		m.steps = append(m.steps, after(usualTime, ran(http.StatusOK)))
+		m.steps = []step{after(usualTime, ran(http.StatusOK))}
+		h.Serve(t.Context(), arriving("/x/1"))
 	}
+	time.Sleep(10 * time.Second)
+	m.called = nil
+	return h
 }
 
 func TestASlowAnswerIsAskedForASecondTime(t *testing.T) {
@@ -49,13 +56,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				m := &mesh{}
-				h := newHandler(t, m, c.kind)
-				learn(m)
-				for range 20 {
-					h.Serve(t.Context(), arriving("/x/1"))
-				}
-				time.Sleep(10 * time.Second)
-				m.called, m.steps = nil, c.steps
+				h := newLearnedHandler(t, m, c.kind)
+				m.steps = c.steps
 				began := time.Now()
 				response := h.Serve(t.Context(), arriving("/x/2"))
 				assert.Equal(t, response.Status, c.status)
@@ -70,12 +72,7 @@
 func TestTheSlowerRunIsGivenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := &mesh{}
-		h := newHandler(t, m, route.Idempotent)
-		learn(m)
-		for range 20 {
-			h.Serve(t.Context(), arriving("/x/1"))
-		}
-		time.Sleep(10 * time.Second)
+		h := newLearnedHandler(t, m, route.Idempotent)
 		m.steps = []step{after(4*time.Second, ran(200)), after(usualTime, ran(200))}
 		h.Serve(t.Context(), arriving("/x/2"))
 		synctest.Wait()
@@ -87,12 +84,7 @@
 func TestSlowServersDontUseUpTheAllowance(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := &mesh{}
-		h := newHandler(t, m, route.Idempotent)
-		learn(m)
-		for range 20 {
-			h.Serve(t.Context(), arriving("/x/1"))
-		}
-		m.called = nil
+		h := newLearnedHandler(t, m, route.Idempotent)
 		const requests = 200
 		for range 2 * requests {
 			m.steps = append(m.steps, after(3*time.Second, ran(200)))
--- a/sidecar/message/message.go
+++ b/sidecar/message/message.go
@@ -92,8 +92,6 @@
 	IsExpired bool
 	Answer    Answer
 	Load      member.Load
-	// Service is the time that the backend server took.
-	Service time.Duration
 }
 
 // Grant answers a reservation.
--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -84,7 +84,7 @@
 	header := o.Headers.ForServer(c.Request, c.Job.Server, c.Job.Deadline)
 	result := client.Send(ctx, c.Request, header, c.Job.Deadline)
 	took := time.Since(arrived)
-	reply := o.settle(j, c, result, took)
+	reply := o.settle(j, c, result)
 	if reply.Outcome == message.Unknown && !reply.IsExpired && reply.Reason != ReasonWithdrawn {
 		reply.IsCrash = o.hasCrashed(c.Job.Server)
 		reply.Incarnation = c.Job.Server
@@ -145,9 +145,8 @@
 }
 
 // settle frees the slot and tells what became of the call.
-func (o *Owner) settle(j *job, c message.Call, result upstream.Result, took time.Duration) message.Reply {
+func (o *Owner) settle(j *job, c message.Call, result upstream.Result) message.Reply {
 	reply := o.reply(result)
-	reply.Service = took
 	now := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
