--- a/sidecar/slot/link_test.go
+++ b/sidecar/slot/link_test.go
@@ -1,7 +1,6 @@
 package slot_test
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -83,47 +82,26 @@
 
 // sendAnswers plays the load and returns how many answers were sent in time and how many late.
 func sendAnswers(seed uint64, isGuarded bool) (inTime, late int) {
-	r := rand.New(rand.NewPCG(seed, 1))
 	l := newLink()
-	c := newLinkedController(l)
-	arrived := map[slot.Ticket]time.Time{}
-	var pending events
-	gap := float64(answerSize) / linkBytes / answersFilled * float64(time.Second)
-	for at := start; at.Before(start.Add(loadSpan)); at = at.Add(time.Duration(r.ExpFloat64() * gap)) {
-		pending = append(pending, event{at: at})
-	}
-	heap.Init(&pending)
-	begin := func(now time.Time, t slot.Ticket) {
-		took := time.Duration((0.5 + r.Float64()) * float64(answerWork))
-		heap.Push(&pending, event{at: now.Add(took), ticket: t, isEnd: true})
+	p := &player{controller: newLinkedController(l), random: rand.New(rand.NewPCG(seed, 1))}
+	arrived := make([]time.Time, p.schedule(loadSpan, float64(answerSize)/linkBytes/answersFilled*float64(time.Second)))
+	p.work = func() time.Duration { return time.Duration((0.5 + p.random.Float64()) * float64(answerWork)) }
+	p.arrive = func(now time.Time, number int) {
+		arrived[number] = now
+		j := bulkJob(now)
+		j.IsBulk = isGuarded
+		p.offer(now, number, j)
 	}
-	for len(pending) > 0 {
-		e := heap.Pop(&pending).(event)
-		var notices []slot.Notice
-		if e.isEnd {
-			sent := l.Reserve(e.at, answerSize).Add(l.Duration(answerSize))
-			if sent.Sub(arrived[e.ticket]) <= answerTarget {
-				inTime++
-			} else {
-				late++
-			}
-			notices = c.Finish(e.at, e.ticket)
+	p.end = func(now time.Time, number int) {
+		sent := l.Reserve(now, answerSize).Add(l.Duration(answerSize))
+		if sent.Sub(arrived[number]) <= answerTarget {
+			inTime++
 		} else {
-			j := bulkJob(e.at)
-			j.IsBulk = isGuarded
-			t, verdict, _ := c.Arrive(e.at, j, true)
-			arrived[t] = e.at
-			if verdict == slot.Run {
-				begin(e.at, t)
-			}
-			notices = c.Advance(e.at)
-		}
-		for _, n := range notices {
-			if n.IsRun() {
-				begin(e.at, n.Ticket())
-			}
+			late++
 		}
 	}
+	p.refuse = func(time.Time, int) {}
+	p.run()
 	return inTime, late
 }
 
--- a/sidecar/slot/load_test.go
+++ b/sidecar/slot/load_test.go
@@ -1,8 +1,6 @@
 package slot_test
 
 import (
-	"container/heap"
-	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -21,87 +19,38 @@
 	loadSpan     = 20 * time.Second
 )
 
-// event is an arrival or the end of a job.
-type event struct {
-	at     time.Time
-	ticket slot.Ticket
-	isEnd  bool
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // outcome counts what became of the jobs of one priority.
 type outcome struct{ offered, inTime, late, refused int }
 
 // play runs the load in virtual time; without the policy, the queue is first come, first served, up to the deadline.
 func play(seed uint64, load float64, isPlain bool) [3]outcome {
-	r := rand.New(rand.NewPCG(seed, 1))
-	c := newController(loadSlots)
-	arrived := map[slot.Ticket]time.Time{}
-	priority := map[slot.Ticket]int{}
+	p := &player{controller: newController(loadSlots), random: rand.New(rand.NewPCG(seed, 1))}
+	count := p.schedule(loadSpan, float64(loadMean)/loadSlots/load)
+	arrived := make([]time.Time, count)
+	priority := make([]int, count)
 	var results [3]outcome
-	var pending events
-	gap := float64(loadMean) / loadSlots / load
-	for at := start; at.Before(start.Add(loadSpan)); at = at.Add(time.Duration(r.ExpFloat64() * gap)) {
-		pending = append(pending, event{at: at})
-	}
-	heap.Init(&pending)
-	begin := func(now time.Time, t slot.Ticket) {
-		// A lognormal spread of 0.8 around the mean.
-		took := time.Duration(float64(loadMean) * math.Exp(0.8*r.NormFloat64()-0.32))
-		heap.Push(&pending, event{at: now.Add(took), ticket: t, isEnd: true})
-	}
-	take := func(now time.Time, notices []slot.Notice) {
-		for _, n := range notices {
-			if n.IsRun() {
-				begin(now, n.Ticket())
-				continue
-			}
-			results[priority[n.Ticket()]].refused++
-		}
-	}
-	for len(pending) > 0 {
-		e := heap.Pop(&pending).(event)
-		if e.isEnd {
-			o := &results[priority[e.ticket]]
-			if e.at.Sub(arrived[e.ticket]) <= loadTarget {
-				o.inTime++
-			} else {
-				o.late++
-			}
-			take(e.at, c.Finish(e.at, e.ticket))
-			continue
+	p.work = func() time.Duration { return p.lognormal(loadMean) }
+	p.arrive = func(now time.Time, number int) {
+		arrived[number], priority[number] = now, 2
+		if p.random.IntN(3) == 0 {
+			priority[number] = 1
 		}
-		p := 2
-		if r.IntN(3) == 0 {
-			p = 1
-		}
-		results[p].offered++
-		j := slot.Job{Class: "c", Priority: p, Target: e.at.Add(loadTarget), Deadline: e.at.Add(loadDeadline), Share: 1}
+		results[priority[number]].offered++
+		j := slot.Job{Class: "c", Priority: priority[number], Target: now.Add(loadTarget), Deadline: now.Add(loadDeadline), Share: 1}
 		if isPlain {
-			j = slot.Job{Class: "c", Target: e.at.Add(loadDeadline), Deadline: e.at.Add(loadDeadline), Share: 0}
+			j = slot.Job{Class: "c", Target: now.Add(loadDeadline), Deadline: now.Add(loadDeadline), Share: 0}
 		}
-		t, verdict, _ := c.Arrive(e.at, j, true)
-		switch verdict {
-		case slot.Refuse:
-			results[p].refused++
-			continue
-		case slot.Run:
-			begin(e.at, t)
+		p.offer(now, number, j)
+	}
+	p.end = func(now time.Time, number int) {
+		if now.Sub(arrived[number]) <= loadTarget {
+			results[priority[number]].inTime++
+		} else {
+			results[priority[number]].late++
 		}
-		arrived[t] = e.at
-		priority[t] = p
 	}
+	p.refuse = func(_ time.Time, number int) { results[priority[number]].refused++ }
+	p.run()
 	return results
 }
 
