fix: among late requests serve the least late first

While lookups fail, service times are estimated so long that every request counts as late; late ones were ordered by the earliest target, so those that had come back went first and first attempts turned late behind them, until long after the trouble (second 20: 63 of 354 in time, 271 with the time not counted).

Change: late jobs by the latest target.

Test: a case of TestTheNextFreeSlotGoesToTheMostUsefulJob; fails without.

--- a/sidecar/slot/controller_test.go
+++ b/sidecar/slot/controller_test.go
@@ -44,6 +44,7 @@
 	}{
 		{"higher priority", job(2, time.Second, 2*time.Second), job(1, time.Second, 2*time.Second)},
 		{"earlier target", job(1, time.Second, 2*time.Second), job(1, 500*time.Millisecond, 2*time.Second)},
+		{"of two late ones the less late", job(1, -time.Second, 2*time.Second), job(1, 20*time.Millisecond, 2*time.Second)},
 		{"in time before late", job(1, 50*time.Millisecond, 2*time.Second), job(1, time.Second, 2*time.Second)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/sidecar/slot/job.go
+++ b/sidecar/slot/job.go
@@ -75,13 +75,18 @@
 	arrived time.Time
 }
 
-// compare orders jobs for the next free slot: by priority, then those that can be in time, then by target.
+// compare orders jobs for the next free slot: by priority, then those that can be in time, the earliest target first, then
+// the late ones, the least late first: where service times are estimated too long, it may be in time after all.
 func compare(now time.Time, times estimates, a, b Job) int {
 	if a.Priority != b.Priority {
 		return cmp.Compare(a.Priority, b.Priority)
 	}
-	if x, y := isLate(now, times, a), isLate(now, times, b); x != y {
-		return first(y)
+	isLateA, isLateB := isLate(now, times, a), isLate(now, times, b)
+	switch {
+	case isLateA != isLateB:
+		return first(isLateB)
+	case isLateA:
+		return b.Target.Compare(a.Target)
 	}
 	return a.Target.Compare(b.Target)
 }
