fix: remember leaves over a restart of the daemon

The log of sidecar-kalimati-7: the process started anew at 31.21 s; at 31.77 it acknowledged the leave of its backend server, whose ID it did not know yet, and forgot it; at 34.08 an announcement from before came in late (sequence 46, ready) and was believed; at 34.70 a request ran there, 2928 ms after the acknowledgement, 2500 being allowed.

Ruled out: an old announcement out of order (the order was right, the process knew no earlier one); writing leaves to the store (one more call for each, and the acknowledgement binds also with the store away).

Change: the owner keeps the ID and moment of a leave that it can't tie to an announcement; announcements of incarnations started before it mean draining. Probes carry, in both directions, the backend server that the other daemon was heard to say it leaves, so that a leave acknowledged before a restart is known again, too.

Test: TestWhatOthersKnowOfALeaveBindsAfterARestart (six orders), TestALeaveBindsADaemonThatIsStartedAnew (whole path, a late announcement after a restart); both fail without.

--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -12,7 +12,7 @@
 // Probe exchanges what two daemons say of themselves.
 func (v *service) Probe(p *message.Probe, reply *message.Probe) error {
 	v.sidecar.Hear(*p)
-	*reply = v.sidecar.Probe()
+	*reply = v.sidecar.Probe(p.Record.Address)
 	return nil
 }
 
@@ -47,9 +47,11 @@
 }
 
 // Probe implements discovery.Self.
-func (s *Sidecar) Probe() message.Probe {
-	r := s.record()
-	return message.Probe{Record: r, Version: s.configuration.Version(), Known: s.members.Len(), Crashes: s.quarantine.Recent(time.Now())}
+func (s *Sidecar) Probe(to string) message.Probe {
+	return message.Probe{
+		Record: s.record(), Version: s.configuration.Version(), Known: s.members.Len(),
+		Crashes: s.quarantine.Recent(time.Now()), Left: s.members.Left(to),
+	}
 }
 
 // Hear implements discovery.Self.
@@ -65,4 +67,7 @@
 		s.Logger.Info("daemon: backend server of another daemon", "daemon", p.Record.Address, "server", p.Record.Server.ID, "state", p.Record.Server.State.String(), "stopping", p.Record.IsStopping)
 	}
 	s.quarantine.Merge(now, p.Crashes)
+	if p.Left.ID != "" {
+		s.owner.NoteLeft(p.Left)
+	}
 }
--- a/sidecar/discovery/prober.go
+++ b/sidecar/discovery/prober.go
@@ -35,8 +35,8 @@
 
 // Self tells what this daemon says of itself.
 type Self interface {
-	// Probe returns the message to other daemons.
-	Probe() message.Probe
+	// Probe returns the message to another daemon.
+	Probe(to string) message.Probe
 	// Hear takes in the message of another daemon.
 	Hear(p message.Probe)
 }
@@ -164,7 +164,7 @@
 	limited, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	link := p.Pool.Link(address, lane)
-	own := p.Self.Probe()
+	own := p.Self.Probe(address)
 	var reply message.Probe
 	started := time.Now()
 	err := link.Call(limited, peer.ServiceName+".Probe", &own, &reply)
--- a/sidecar/member/table.go
+++ b/sidecar/member/table.go
@@ -17,6 +17,8 @@
 	record  Record
 	isKnown bool
 	heard   time.Time
+	// left is the backend server that was last said to be leaving.
+	left Server
 	// silentSince is zero while the daemon answers.
 	silentSince time.Time
 }
@@ -83,9 +85,22 @@
 	isChanged := !e.isKnown || e.record.Server.ID != r.Server.ID || e.record.Server.State != r.Server.State || e.record.IsStopping != r.IsStopping
 	e.record = r
 	e.isKnown = true
+	if r.Server.State == Draining {
+		e.left = r.Server
+	}
 	return isChanged
 }
 
+// Left returns the backend server that a daemon said last is leaving, also after that daemon has been started anew.
+func (t *Table) Left(address string) Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.members[address]; ok {
+		return e.left
+	}
+	return Server{}
+}
+
 // NoteLoad takes in a load that came with the answer to a call.
 func (t *Table) NoteLoad(now time.Time, address string, l Load) {
 	t.mu.Lock()
--- a/sidecar/message/message.go
+++ b/sidecar/message/message.go
@@ -115,6 +115,9 @@
 	Crashes []Crash
 	// Known is the number of daemons that the sender knows.
 	Known int
+	// Left is the backend server beside the receiver of which the sender heard last that it leaves: a daemon that was
+	// started anew does not know what it has acknowledged before.
+	Left member.Server
 }
 
 // Crash tells that a request ended a backend server, or that a request which was suspected has been answered.
--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -68,8 +68,11 @@
 	downUntil time.Time
 	failing   failing
 	look      look
-	done      chan struct{}
-	stop      chan struct{}
+	// left is the backend server that was last said to leave without having announced itself to this process; Born is the
+	// latest start that the leave covers.
+	left member.Server
+	done chan struct{}
+	stop chan struct{}
 }
 
 // key identifies a request among those of all entry daemons.
@@ -154,6 +157,9 @@
 func (o *Owner) Announce(s member.Server) bool {
 	o.mu.Lock()
 	present := o.server
+	if o.hasLeft(s) {
+		s.State = member.Draining
+	}
 	switch {
 	case present.ID != "" && s.Born < present.Born:
 		o.mu.Unlock()
@@ -192,10 +198,38 @@
 	o.server = s
 }
 
-// Leave notes that the backend server is going; an ID that is not here changes nothing.
+// NoteLeft takes in what other daemons know: that an incarnation of the backend server has said here that it leaves. An
+// announcement from before may still come in after this daemon was started anew.
+func (o *Owner) NoteLeft(s member.Server) {
+	o.mu.Lock()
+	if s.Born >= o.left.Born {
+		o.left = s
+	}
+	isHere := o.hasLeft(o.server)
+	o.mu.Unlock()
+	if isHere {
+		o.Leave(s.ID)
+	}
+}
+
+// hasLeft reports whether an incarnation is covered by a leave that this process can't tie to an announcement.
+func (o *Owner) hasLeft(s member.Server) bool {
+	return s.ID != "" && s.ID == o.left.ID && s.Born <= o.left.Born
+}
+
+// Leave notes that the backend server is going and reports whether that changed anything.
+//
+// A daemon that was started anew may not know the ID yet; an announcement from before the leave then changes nothing. The
+// start of an incarnation and this moment are read from the clock of the same instance.
 func (o *Owner) Leave(id string) bool {
 	o.mu.Lock()
-	if o.server.ID != id || o.server.State == member.Draining {
+	if o.server.ID != id {
+		o.left = member.Server{ID: id, Born: time.Now().UnixMilli()}
+		o.mu.Unlock()
+		o.Logger.Info("owner: unknown backend server leaves", "server", id)
+		return false
+	}
+	if o.server.State == member.Draining {
 		o.mu.Unlock()
 		return false
 	}
--- a/sidecar/owner/owner_test.go
+++ b/sidecar/owner/owner_test.go
@@ -131,6 +131,55 @@
 	}
 }
 
+func TestWhatOthersKnowOfALeaveBindsAfterARestart(t *testing.T) {
+	s := newServer(t)
+	defer s.Close()
+	left := announcement(s, "a", 10, 6, member.Draining)
+	for _, c := range []struct {
+		name  string
+		then  []func(o *owner.Owner)
+		state member.State
+	}{
+		{"known before a late announcement", []func(o *owner.Owner){
+			func(o *owner.Owner) { o.NoteLeft(left) },
+			func(o *owner.Owner) { o.Announce(announcement(s, "a", 10, 5, member.Ready)) },
+		}, member.Draining},
+		{"known after it", []func(o *owner.Owner){
+			func(o *owner.Owner) { o.Announce(announcement(s, "a", 10, 5, member.Ready)) },
+			func(o *owner.Owner) { o.NoteLeft(left) },
+		}, member.Draining},
+		{"the same ID started anew", []func(o *owner.Owner){
+			func(o *owner.Owner) { o.NoteLeft(left) },
+			func(o *owner.Owner) { o.Announce(announcement(s, "a", 11, 1, member.Ready)) },
+		}, member.Ready},
+		{"it left before it announced itself here", []func(o *owner.Owner){
+			func(o *owner.Owner) { o.Leave("a") },
+			func(o *owner.Owner) { o.Announce(announcement(s, "a", 10, 5, member.Ready)) },
+		}, member.Draining},
+		{"the same ID started after that", []func(o *owner.Owner){
+			func(o *owner.Owner) { o.Leave("a") },
+			func(o *owner.Owner) {
+				o.Announce(announcement(s, "a", time.Now().Add(time.Second).UnixMilli(), 1, member.Ready))
+			},
+		}, member.Ready},
+		{"old knowledge of an earlier incarnation", []func(o *owner.Owner){
+			func(o *owner.Owner) { o.Announce(announcement(s, "a", 11, 1, member.Ready)) },
+			func(o *owner.Owner) { o.NoteLeft(left) },
+		}, member.Ready},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			o := newOwner(t)
+			for _, step := range c.then {
+				step(o)
+			}
+			found, _ := o.Server()
+			assert.Equal(t, found.State, c.state)
+			reply := o.Call(call("one", "/", "a", route.Idempotent, 1))
+			assert.Equal(t, reply.Outcome == message.Ran, c.state == member.Ready)
+		})
+	}
+}
+
 func TestARequestForAnotherServerDoesNotRun(t *testing.T) {
 	s := newServer(t)
 	defer s.Close()
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -207,6 +207,32 @@
 	}
 }
 
+func TestALeaveBindsADaemonThatIsStartedAnew(t *testing.T) {
+	d := newDeployment(t)
+	d.configure(1, "desk")
+	first, second := d.add("desk"), d.add("desk")
+	d.await(first, "server-0")
+	d.await(second, "server-1", "server-0")
+	_, err := first.server.Drain(t.Context())
+	assert.NilError(t, err)
+	d.await(second, "server-1")
+	first.stop()
+	<-first.ended
+	d.start(first)
+	d.await(first, "server-1")
+	// An announcement from before the leave comes in late.
+	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":"desk","version":"v1","zone":"zone","slots":4},"status":{"state":"ready","sequence":1,"coldRemainingS":0}}`,
+		first.server.Address, first.server.Born())
+	response, err := http.Post("http://"+first.settings.Announcements+"/rpc?call=instances.heartbeat&of="+first.server.ID, "application/json", strings.NewReader(body))
+	assert.NilError(t, err)
+	response.Body.Close()
+	for range 100 {
+		status, server := d.get(first)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, server, "server-1")
+	}
+}
+
 func TestAStoppedDaemonFinishesWhatItHasRead(t *testing.T) {
 	d := newDeployment(t)
 	d.configure(1, "desk")
--- a/standin/application/announce.go
+++ b/standin/application/announce.go
@@ -33,6 +33,9 @@
 	ColdRemainingS float64 `json:"coldRemainingS"`
 }
 
+// Born returns the start of the server in milliseconds since 1970.
+func (s *Server) Born() int64 { return s.born }
+
 func (s *Server) announce(ctx context.Context) {
 	defer close(s.done)
 	for ctx.Err() == nil {
