--- a/sidecar/discovery/discovery_test.go
+++ b/sidecar/discovery/discovery_test.go
@@ -146,7 +146,7 @@
 	return s.answer(ctx, page(6, "b"))
 }
 
-func (s *silent) Feed(ctx context.Context, _ string, after uint64, wait time.Duration) (discovery.Page, error) {
+func (s *silent) Feed(ctx context.Context, _ string, after uint64, _ time.Duration) (discovery.Page, error) {
 	if s.calls == 0 {
 		// The connection of the call that was under way ends while the store is away.
 		s.calls++
