fix: learn service times from successes only

Change: a failed run frees its slot without being learned from.

Test: TestFailuresTellNothingOfTheTimeOfASuccess, fails without.

--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -151,7 +151,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.forget(j)
-	if reply.Outcome == message.Ran {
+	if reply.Outcome == message.Ran && !isFailed(reply.Answer) {
 		if c.Job.Kind == route.Download && o.Link != nil {
 			o.slots.NoteSize(c.Job.Route, len(reply.Answer.Body))
 		}
@@ -186,11 +186,14 @@
 	return message.Reply{Outcome: message.Unknown, Reason: ReasonBroken + ": " + result.Err.Error()}
 }
 
+// isFailed reports whether a backend server failed the request; how long that took tells nothing of the time of a success.
+func isFailed(a message.Answer) bool { return a.Status >= http.StatusInternalServerError }
+
 // isFailure reports whether the backend server, and not its load or the caller, is the reason for a missing success.
 func isFailure(r message.Reply) bool {
 	switch r.Outcome {
 	case message.Ran:
-		return r.Answer.Status >= http.StatusInternalServerError && r.Answer.Status != http.StatusGatewayTimeout
+		return isFailed(r.Answer) && r.Answer.Status != http.StatusGatewayTimeout
 	case message.NotRun:
 		return true
 	}
--- a/sidecar/owner/owner_test.go
+++ b/sidecar/owner/owner_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -305,3 +306,37 @@
 		assert.Equal(t, (<-ended).Outcome, message.Ran)
 	}
 }
+
+func TestFailuresTellNothingOfTheTimeOfASuccess(t *testing.T) {
+	const failureTime = 200 * time.Millisecond
+	s := newServer(t)
+	defer s.Close()
+	release := sync.OnceFunc(func() { close(s.release) })
+	defer release()
+	s.answer = func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			s.started <- ""
+			<-s.release
+			return
+		}
+		time.Sleep(failureTime)
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	o := newOwner(t)
+	o.Announce(announcement(s, "a", 10, 1, member.Ready))
+	for i := range uint64(3) {
+		reply := o.Call(call("x", "/", "a", route.Idempotent, i))
+		assert.Equal(t, reply.Answer.Status, http.StatusInternalServerError)
+	}
+	running := make(chan message.Reply, 1)
+	go func() { running <- o.Call(call("y", "/wait", "a", route.Idempotent, 10)) }()
+	<-s.started
+	// With the time of the failures the wait and the run would not fit into the time left.
+	j := call("z", "/", "a", route.Idempotent, 11).Job
+	j.Target, j.Deadline = 250*time.Millisecond, 260*time.Millisecond
+	waiting := make(chan message.Grant, 1)
+	go func() { waiting <- o.Reserve(j) }()
+	assert.Assert(t, (<-waiting).Reason != string(slot.ReasonHopeless))
+	release()
+	assert.Equal(t, (<-running).Outcome, message.Ran)
+}
