--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -68,8 +68,8 @@
 	downUntil time.Time
 	failing   failing
 	look      look
-	// left is the backend server that was last said to leave without having announced itself to this process; Born is the
-	// latest start that the leave covers.
+	// left is the last leave that this process could not tie to an announcement of its own: one of an unknown ID, or one
+	// that other daemons remember. Born is the latest start that it covers.
 	left member.Server
 	done chan struct{}
 	stop chan struct{}
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -150,6 +150,16 @@
 	d.t.Fatalf("no answer of %v", servers)
 }
 
+// servedOnlyBy checks that many requests to an instance are all answered by one server.
+func (d *deployment) servedOnlyBy(i *instance, expected string) {
+	d.t.Helper()
+	for range 100 {
+		status, server := d.get(i)
+		assert.Equal(d.t, status, http.StatusOK)
+		assert.Equal(d.t, server, expected)
+	}
+}
+
 func TestARequestIsServedFromAnyInstance(t *testing.T) {
 	d := newDeployment(t)
 	d.configure(1, "desk")
@@ -200,11 +210,7 @@
 	d.await(second, "server-1")
 	_, err := first.server.Drain(t.Context())
 	assert.NilError(t, err)
-	for range 100 {
-		status, server := d.get(first)
-		assert.Equal(t, status, http.StatusOK)
-		assert.Equal(t, server, "server-1")
-	}
+	d.servedOnlyBy(first, "server-1")
 }
 
 func TestALeaveBindsADaemonThatIsStartedAnew(t *testing.T) {
@@ -226,11 +232,7 @@
 	response, err := http.Post("http://"+first.settings.Announcements+"/rpc?call=instances.heartbeat&of="+first.server.ID, "application/json", strings.NewReader(body))
 	assert.NilError(t, err)
 	response.Body.Close()
-	for range 100 {
-		status, server := d.get(first)
-		assert.Equal(t, status, http.StatusOK)
-		assert.Equal(t, server, "server-1")
-	}
+	d.servedOnlyBy(first, "server-1")
 }
 
 func TestAStoppedDaemonFinishesWhatItHasRead(t *testing.T) {
--- a/sidecar/placement/placer.go
+++ b/sidecar/placement/placer.go
@@ -28,7 +28,8 @@
 	bulkDistance = 150 * time.Millisecond
 	// nearby is what another instance of the own data centre adds.
 	nearby = 2 * time.Millisecond
-	// maximumBacklog is the wait for the link of an instance with which it gets no further large answer unasked.
+	// maximumBacklog is the wait for the link of an instance above which a large answer is not sent there without a
+	// reservation. It is longer than the bound of the owner, which knows how far the link empties meanwhile.
 	maximumBacklog = 400 * time.Millisecond
 	// loadLifetime is how long a load that an owner stated counts.
 	loadLifetime = 500 * time.Millisecond
--- a/sidecar/slot/controller.go
+++ b/sidecar/slot/controller.go
@@ -91,7 +91,7 @@
 	}
 	c.next++
 	j = c.allowForSending(now, j)
-	if len(c.running) < c.slots && c.mayStart(now, j) && c.first(now) < 0 {
+	if len(c.running) < c.slots && c.mayStart(now, j) && c.startable(now) < 0 {
 		c.running[c.next] = &running{job: j, started: now}
 		return c.next, Run, ""
 	}
@@ -191,7 +191,7 @@
 func (c *Controller) Advance(now time.Time) []Notice {
 	notices := c.expire(now)
 	for len(c.running) < c.slots {
-		next := c.first(now)
+		next := c.startable(now)
 		if next < 0 {
 			break
 		}
@@ -229,8 +229,8 @@
 	return !w.job.IsNested && isLate(now, c.times, w.job) && now.Sub(w.arrived) > lateWait
 }
 
-// first returns the place in the queue of the job that comes next, or -1 if none may start.
-func (c *Controller) first(now time.Time) int {
+// startable returns the place in the queue of the job that comes next, or -1 if none may start.
+func (c *Controller) startable(now time.Time) int {
 	best := -1
 	for i, w := range c.queue {
 		if !c.mayStart(now, w.job) {
