fix(sidecar): use stopping daemons while a service has no other, cut no reply at a stop

TestNoRequestFailsWhenAServerDrains: nothing made sure that the first daemon knew the second backend server when the only other one drained (503 is right then). TestSIGTERMLetsRequestsInFlightFinish: the daemon counts a request as running before the backend server has read it, so that the signal could come first; the server then closes the connection. Found on the way: at the end of a stop the listener for other daemons was closed together with its connections, so a reply that was being written, or a call that had just arrived, was cut.

Change: candidates beside stopping daemons are the last choice in place of none. The drain test waits until the other server is used under load; the SIGTERM test waits for the execution at the backend server.

TestAStoppingDaemonIsUsedWhileItsServiceHasNoOther fails without the change (503).

--- a/cmd/integration/path_test.go
+++ b/cmd/integration/path_test.go
@@ -129,7 +129,7 @@
 		{"at the backend server", func(_, _ *instance, backendServer *process) *process { return backendServer }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			m, near, far, _ := startPair(t)
+			m, near, far, address := startPair(t)
 			backendServer := m.backends[0]
 			type result struct {
 				isWhole bool
@@ -140,10 +140,8 @@
 				response, body, err := near.do(http.MethodGet, "/status?work=2s&size=100000", "slow", nil, nil)
 				answered <- result{err == nil && load.IsWhole(response, body, "slow"), err}
 			}()
-			eventually(t, "the request runs", func() bool {
-				s, err := far.operatorClient().Status(context.Background())
-				return err == nil && s.BackendServers[0].Running == 1
-			})
+			// The daemon counts a request as running before the backend server has read it.
+			eventually(t, "the request runs", func() bool { return executions(t, address)["slow"] == 1 })
 			stopped := c.pick(near, far, backendServer)
 			stopped.signal(syscall.SIGTERM)
 			r := <-answered
--- a/sidecar/member/table.go
+++ b/sidecar/member/table.go
@@ -34,6 +34,9 @@
 	LoadAge time.Duration
 	// IsUnreachable is true while the daemon beside the backend server does not answer.
 	IsUnreachable bool
+	// IsStopping is true once the daemon beside the backend server has announced its end; until then it still runs
+	// requests.
+	IsStopping bool
 }
 
 // NewTable returns an empty table.
@@ -147,19 +150,21 @@
 	return now.Sub(e.unreachableSince)
 }
 
-// Candidates returns the ready backend servers of a service beside other daemons, in order of address.
+// Candidates returns the ready backend servers of a service beside other daemons, in order of address. Those beside
+// daemons that have ended after they announced it are left out.
 func (t *Table) Candidates(now time.Time, service string) []Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var found []Candidate
 	for address, e := range t.members {
 		r := e.record
-		if !e.isKnown || r.IsStopping || r.Server.State != Ready || r.Server.Service != service {
+		isUnreachable := !e.unreachableSince.IsZero()
+		if !e.isKnown || r.IsStopping && isUnreachable || r.Server.State != Ready || r.Server.Service != service {
 			continue
 		}
 		found = append(found, Candidate{
 			Address: address, DataCentre: r.DataCentre, Server: r.Server, Load: r.Load,
-			LoadAge: now.Sub(e.lastReport), IsUnreachable: !e.unreachableSince.IsZero(),
+			LoadAge: now.Sub(e.lastReport), IsUnreachable: isUnreachable, IsStopping: r.IsStopping,
 		})
 	}
 	slices.SortFunc(found, func(a, b Candidate) int { return strings.Compare(a.Address, b.Address) })
--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -69,7 +69,7 @@
 	switch {
 	case o.server.ID != q.Server || o.server.State == member.Absent:
 		return ReasonOtherServer
-	case o.server.State == member.Draining:
+	case o.isRefusing, o.server.State == member.Draining:
 		return string(slot.ReasonDraining)
 	case now.Before(o.unreachableUntil):
 		return ReasonUnreachable
--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -87,8 +87,10 @@
 	// daemon. All incarnations of the server with this ID that started at Born or before count as draining. Only ID and
 	// Born are used.
 	unmatchedDrain member.Server
-	done           chan struct{}
-	stop           chan struct{}
+	// isRefusing is true once Refuse was called.
+	isRefusing bool
+	done       chan struct{}
+	stop       chan struct{}
 }
 
 // callKey identifies a request among those of all entry daemons, by the address of the entry daemon and its number
@@ -269,6 +271,15 @@
 	return true
 }
 
+// Refuse makes the owner refuse all reservations and calls from now on, since this daemon is about to end. Requests that
+// wait are refused as well; those that have a slot run.
+func (o *Owner) Refuse() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.isRefusing = true
+	o.notify(o.slots.Drain())
+}
+
 // notify passes the status changes of jobs to the waiting requests. A slot that was granted to a request which
 // no longer waits is released at once. The caller holds the lock.
 func (o *Owner) notify(changes []slot.StatusChange) {
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -10,10 +10,12 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
 	"siskinspar.example/platform/dialect"
 	"siskinspar.example/platform/rowstore"
@@ -125,25 +127,25 @@
 }
 
 // number is the number of the latest request; it is the ID of the request and the end of its path.
-var number int
+var number atomic.Int64
 
 // get sends one request to an instance and returns the status and the ID of the backend server that answered, or 0 if
 // there is no response.
 func (d *deployment) get(i *instance) (int, string) {
-	number++
-	r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/r/%d", i.settings.Clients, number), nil)
-	assert.NilError(d.t, err)
+	id := number.Add(1)
+	r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/r/%d", i.settings.Clients, id), nil)
+	assert.Check(d.t, err)
 	r.Host = "a.example"
-	r.Header.Set("Request-Id", fmt.Sprint(number))
+	r.Header.Set("Request-Id", fmt.Sprint(id))
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, ""
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	assert.NilError(d.t, err)
+	assert.Check(d.t, err)
 	if response.StatusCode == http.StatusOK {
-		assert.Equal(d.t, string(body), application.Answer(fmt.Sprint(number), fmt.Sprintf("/r/%d", number)))
+		assert.Check(d.t, cmp.Equal(string(body), application.Answer(fmt.Sprint(id), fmt.Sprintf("/r/%d", id))))
 	}
 	return response.StatusCode, response.Header.Get("Instance-Id")
 }
@@ -161,6 +163,31 @@
 	d.t.Fatalf("no answer of %v within 20 s", servers)
 }
 
+// awaitUnderLoad sends groups of concurrent requests to an instance until one is answered by a server, and fails after
+// 20 seconds. A group is larger than the slots of one server.
+func (d *deployment) awaitUnderLoad(i *instance, server string) {
+	d.t.Helper()
+	const groupSize = 12
+	deadline := time.Now().Add(20 * time.Second)
+	for time.Now().Before(deadline) {
+		answeredBy := make(chan string, groupSize)
+		for range groupSize {
+			go func() {
+				_, id := d.get(i)
+				answeredBy <- id
+			}()
+		}
+		isFound := false
+		for range groupSize {
+			isFound = <-answeredBy == server || isFound
+		}
+		if isFound {
+			return
+		}
+	}
+	d.t.Fatalf("no answer of %s within 20 s", server)
+}
+
 // servedOnlyBy checks that many requests to an instance are all answered by one server.
 func (d *deployment) servedOnlyBy(i *instance, expected string) {
 	d.t.Helper()
@@ -217,9 +244,11 @@
 func TestNoRequestFailsWhenAServerDrains(t *testing.T) {
 	d := newDeployment(t)
 	d.configure(1, "desk")
-	first, second := d.add("desk"), d.add("desk")
-	d.await(first, "server-1", "server-0")
-	d.await(second, "server-1")
+	first := d.add("desk")
+	d.add("desk")
+	d.await(first, "server-0")
+	// The first daemon knows the other backend server once it uses it under load.
+	d.awaitUnderLoad(first, "server-1")
 	_, err := first.server.Drain(t.Context())
 	assert.NilError(t, err)
 	d.servedOnlyBy(first, "server-1")
@@ -269,6 +298,20 @@
 	}
 }
 
+// When all daemons of a service are stopped at once, none is left that could take over the requests that were read.
+func TestAStoppingDaemonIsUsedWhileItsServiceHasNoOther(t *testing.T) {
+	d := newDeployment(t)
+	d.configure(1, "desk")
+	desk, hub := d.add("desk"), d.add("hub")
+	d.await(hub, "server-0")
+	desk.stop()
+	for range 20 {
+		status, server := d.get(hub)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, server, "server-0")
+	}
+}
+
 // BenchmarkTwoHops measures a request that enters at one daemon and runs beside another, all in one process.
 func BenchmarkTwoHops(b *testing.B) {
 	d := newDeployment(b)
--- a/sidecar/peer/server.go
+++ b/sidecar/peer/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -29,6 +30,8 @@
 	server   *rpc.Server
 	mu       sync.Mutex
 	conns    map[net.Conn]bool
+	// group counts the open connections.
+	group sync.WaitGroup
 }
 
 // Run starts to listen and serve; it returns once the server listens, or the error of the listener.
@@ -44,7 +47,9 @@
 
 func (s *Server) serve(c net.Conn) {
 	s.track(c, true)
+	s.group.Add(1)
 	go func() {
+		defer s.group.Done()
 		defer s.track(c, false)
 		s.server.ServeConn(newPacedConn(c, s.Pacer))
 	}()
@@ -61,14 +66,32 @@
 	delete(s.conns, c)
 }
 
-// Stop closes the listener and all connections; calls in progress fail at the other daemon.
-func (s *Server) Stop() {
+// Stop closes the listener, reads no further call, and waits for up to limit until the calls that were read have their
+// replies. Then it closes all connections; calls still in progress fail at the other daemon.
+func (s *Server) Stop(limit time.Duration) {
 	s.listener.Stop()
+	// net/rpc closes a connection that can't be read any more once all replies are written.
+	s.forEachConn(func(c net.Conn) error { return c.SetReadDeadline(time.Now()) })
+	ended := make(chan struct{})
+	go func() {
+		s.group.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(limit):
+		s.Logger.Warn("daemons: calls without a reply are cut at the end of the drain")
+	}
+	s.forEachConn(net.Conn.Close)
+}
+
+// forEachConn calls a method of each open connection. Its error is ignored, since the other side may have closed the
+// connection.
+func (s *Server) forEachConn(call func(net.Conn) error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		// The other side may have closed the connection already.
-		_ = c.Close()
+		_ = call(c)
 	}
 }
 
--- /dev/null
+++ b/sidecar/peer/server_test.go
@@ -0,0 +1,68 @@
+package peer_test
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinspar.example/sidecar/peer"
+)
+
+// slowService has one method, which replies once release is closed.
+type slowService struct{ started, release chan struct{} }
+
+func (s *slowService) Wait(_ int, reply *string) error {
+	close(s.started)
+	<-s.release
+	*reply = "whole"
+	return nil
+}
+
+// startServer runs a server of the service and returns it with its address.
+func startServer(t *testing.T, service any) (*peer.Server, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	s := &peer.Server{Address: address, Service: service, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	assert.NilError(t, s.Run())
+	return s, address
+}
+
+// A planned stop must not cut calls that other daemons have sent before it.
+func TestStopWaitsForTheRepliesOfCallsInProgress(t *testing.T) {
+	v := &slowService{started: make(chan struct{}), release: make(chan struct{})}
+	s, address := startServer(t, v)
+	c := &peer.Connection{Address: address}
+	result := make(chan error, 1)
+	var reply string
+	go func() { result <- c.Call(t.Context(), peer.ServiceName+".Wait", 1, &reply) }()
+	<-v.started
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		s.Stop(20 * time.Second)
+	}()
+	<-s.Done()
+	close(v.release)
+	assert.NilError(t, <-result)
+	assert.Equal(t, reply, "whole")
+	<-stopped
+}
+
+func TestStopCutsCallsAfterItsLimit(t *testing.T) {
+	v := &slowService{started: make(chan struct{}), release: make(chan struct{})}
+	s, address := startServer(t, v)
+	c := &peer.Connection{Address: address}
+	result := make(chan error, 1)
+	go func() { result <- c.Call(t.Context(), peer.ServiceName+".Wait", 1, new(string)) }()
+	<-v.started
+	s.Stop(10 * time.Millisecond)
+	assert.ErrorContains(t, <-result, "EOF")
+	close(v.release)
+}
--- a/sidecar/placement/placer.go
+++ b/sidecar/placement/placer.go
@@ -190,22 +190,28 @@
 }
 
 // usable returns the candidates without those that were tried. Candidates that are unreachable or fail many requests
-// are returned only if no others are left.
+// are returned only if no others are left, and those whose daemon is stopping only if there are none of these either:
+// when all daemons of a service are stopped at once, they serve the requests that were read.
 func (p *Placer) usable(now time.Time, candidates []member.Candidate, tried []string) []member.Candidate {
-	var healthy, unhealthy []member.Candidate
+	var healthy, unhealthy, stopping []member.Candidate
 	for _, c := range candidates {
 		switch {
 		case slices.Contains(tried, c.Server.ID):
+		case c.IsStopping:
+			stopping = append(stopping, c)
 		case c.IsUnreachable || c.Load.Failing > maximumFailureShare || p.isFailing(now, c.Server.ID):
 			unhealthy = append(unhealthy, c)
 		default:
 			healthy = append(healthy, c)
 		}
 	}
-	if len(healthy) == 0 {
+	switch {
+	case len(healthy) > 0:
+		return healthy
+	case len(unhealthy) > 0:
 		return unhealthy
 	}
-	return healthy
+	return stopping
 }
 
 // expectedTime estimates the time until an answer arrives here; it only serves to compare backend servers of one
