fix(sidecar): bound heads, bodies and messages that come without end

Cause: the head of an answer and the number of interim answers before it had no limit, a body up to 64 MB each, a gob message of another daemon up to 1 GB, of which the decoder allocates 10 MB before a byte arrives.

Change: package memory. A head, with its interim answers, has at most 64 KiB. Bodies of requests and answers share a fifth of the memory of the process while they are read (those of requests until they are answered), one answer has at most 6%; messages of other daemons take from the same budget before they are begun. Requests that don't fit are refused with 503 before they run. A connection with bytes after an answer is closed at once, not when it is used next. The time between bytes has no bound of its own: silence is no failure, the deadline of the request ends it.

A call between daemons now knows whether any part was sent, also when the link or the connection held it up, so that it can be reported as not run.

--- a/sidecar/entry/handler.go
+++ b/sidecar/entry/handler.go
@@ -137,10 +137,17 @@
 // unconfiguredRetryAfter is the time after which clients are asked to retry at a daemon without a configuration.
 const unconfiguredRetryAfter = 300 * time.Millisecond
 
+// exhaustedRetryAfter is the time after which clients are asked to retry at a daemon without memory for their request.
+const exhaustedRetryAfter = 300 * time.Millisecond
+
 // Refuse implements ingress.Handler: it returns the response to a request that could not be read.
 func (h *Handler) Refuse(status int) *ingress.Response {
 	h.Logger.Info("entry: request could not be read", "status", status)
-	return h.refuse("", status, 0)
+	var retryAfter time.Duration
+	if status == http.StatusServiceUnavailable {
+		retryAfter = exhaustedRetryAfter
+	}
+	return h.refuse("", status, retryAfter)
 }
 
 // refuse returns a response without a body that asks the client to retry after retryAfter, unless that is 0.
--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +14,8 @@
 	"time"
 
 	"golang.org/x/net/http/httpguts"
+
+	"siskinspar.example/sidecar/memory"
 )
 
 const (
@@ -29,9 +30,6 @@
 	writeTimeout = 30 * time.Second
 )
 
-// errHeadersTooLarge is returned by limitReader when the headers exceed Limits.HeaderBytes.
-var errHeadersTooLarge = errors.New("the headers are larger than the limit")
-
 // exchange is a request and its answer. Exchanges are queued in the order in which they have to be answered.
 type exchange struct {
 	// request is nil if the request could not be read; response then holds the refusal.
@@ -39,6 +37,8 @@
 	response chan *Response
 	// isLast is true if the connection closes after this answer.
 	isLast bool
+	// held is the number of bytes taken from the memory budget until the answer is ready.
+	held int
 }
 
 // conn is the connection of a client. One goroutine reads requests, and another writes the answers in order.
@@ -46,7 +46,7 @@
 	net.Conn
 	server *Server
 	// limit bounds the size of headers; reader reads through it.
-	limit  *limitReader
+	limit  *memory.Limiter
 	reader *bufio.Reader
 	// queue holds the exchanges that the writer has not taken yet, in the order of their requests.
 	queue chan *exchange
@@ -67,7 +67,7 @@
 
 func newConn(s *Server, c net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &limitReader{reader: c, left: math.MaxInt}
+	l := &memory.Limiter{Reader: c}
 	return &conn{Conn: c, server: s, limit: l, reader: bufio.NewReaderSize(l, readBufferSize), queue: make(chan *exchange, maximumPipelined), ctx: ctx, cancel: cancel}
 }
 
@@ -138,7 +138,7 @@
 		return false
 	}
 	n.isWaiting = true
-	n.limit.left = math.MaxInt
+	n.limit.AllowAll()
 	// If the deadline can't be set, the next read fails.
 	_ = n.SetReadDeadline(time.Now().Add(idle))
 	return true
@@ -162,7 +162,7 @@
 	_ = n.SetReadDeadline(time.Now().Add(l.HeaderTimeout))
 	// The buffered bytes passed the limit reader while it was without limit, so they are deducted here. One byte more than
 	// the limit may be read, so that headers of just HeaderBytes don't fail; headerSize then checks the limit.
-	n.limit.left = max(0, l.HeaderBytes-n.reader.Buffered()) + 1
+	n.limit.Allow(max(0, l.HeaderBytes-n.reader.Buffered()) + 1)
 	r, err := http.ReadRequest(n.reader)
 	if err != nil {
 		return n.refuse(headerStatus(err))
@@ -170,27 +170,28 @@
 	if headerSize(r) > l.HeaderBytes {
 		return n.refuse(http.StatusRequestHeaderFieldsTooLarge)
 	}
-	n.limit.left = math.MaxInt
+	n.limit.AllowAll()
 	arrived := time.Now()
 	if status := checkRequest(r); status != 0 {
 		return n.refuse(status)
 	}
 	if r.ContentLength > int64(l.BodyBytes) {
+		// The client may be waiting for a 100 Continue, so nothing is read.
 		return n.refuse(http.StatusRequestEntityTooLarge)
 	}
 	n.allowBody(r)
 	// If the deadline can't be set, the next read fails.
 	_ = n.SetReadDeadline(time.Now().Add(l.IdleTimeout))
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(l.BodyBytes)+1))
+	body, err := memory.ReadBody(r.Body, r.ContentLength, l.BodyBytes, n.server.Memory)
 	if err != nil {
 		return n.refuse(bodyStatus(err))
 	}
-	if len(body) > l.BodyBytes {
-		return n.refuse(http.StatusRequestEntityTooLarge)
+	if !n.server.Memory.Acquire(len(body)) {
+		return n.refuse(http.StatusServiceUnavailable)
 	}
 	// The length of an HTTP/1.0 request with a transfer encoding is ambiguous, so nothing after such a request is read.
 	isLast := r.Close || !r.ProtoAtLeast(1, 1)
-	x = &exchange{request: &Request{Request: r, BodyContent: body, Arrived: arrived}, response: make(chan *Response, 1), isLast: isLast}
+	x = &exchange{request: &Request{Request: r, BodyContent: body, Arrived: arrived}, response: make(chan *Response, 1), isLast: isLast, held: len(body)}
 	return x, !isLast
 }
 
@@ -220,7 +221,7 @@
 func headerStatus(err error) int {
 	var networkError net.Error
 	switch {
-	case errors.Is(err, errHeadersTooLarge):
+	case errors.Is(err, memory.ErrTooLarge):
 		return http.StatusRequestHeaderFieldsTooLarge
 	case errors.As(err, &networkError) && networkError.Timeout():
 		return http.StatusRequestTimeout
@@ -234,6 +235,10 @@
 func bodyStatus(err error) int {
 	var networkError net.Error
 	switch {
+	case errors.Is(err, memory.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, memory.ErrExhausted):
+		return http.StatusServiceUnavailable
 	case errors.As(err, &networkError) && networkError.Timeout():
 		return http.StatusRequestTimeout
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &networkError):
@@ -301,22 +306,3 @@
 	_ = n.SetReadDeadline(time.Now().Add(lingerTimeout))
 	_, _ = io.Copy(io.Discard, n.Conn)
 }
-
-// limitReader returns errHeadersTooLarge once left bytes have been read.
-type limitReader struct {
-	reader io.Reader
-	left   int
-}
-
-// Read implements io.Reader.
-func (l *limitReader) Read(p []byte) (int, error) {
-	if l.left <= 0 {
-		return 0, errHeadersTooLarge
-	}
-	if len(p) > l.left {
-		p = p[:l.left]
-	}
-	read, err := l.reader.Read(p)
-	l.left -= read
-	return read, err
-}
--- a/sidecar/ingress/server.go
+++ b/sidecar/ingress/server.go
@@ -11,6 +11,7 @@
 
 	"siskinspar.example/sidecar/bandwidth"
 	"siskinspar.example/sidecar/listener"
+	"siskinspar.example/sidecar/memory"
 )
 
 // Limits are the limits on the size of a request and on the time to send it.
@@ -63,6 +64,8 @@
 	Logger *slog.Logger
 	// Pacer limits the rate at which large answers are sent; nil means no limit.
 	Pacer *bandwidth.Pacer
+	// Memory bounds the bodies of the requests that are read or served; nil means no limit.
+	Memory *memory.Budget
 
 	listener *listener.Listener
 	// isDraining is true once Drain was called: each answer then tells the client that the connection closes.
--- a/sidecar/ingress/server_test.go
+++ b/sidecar/ingress/server_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"siskinspar.example/sidecar/ingress"
+	"siskinspar.example/sidecar/memory"
 )
 
 // handler echoes the method, the path and the body of each request. Requests to /wait are answered once release is
@@ -23,6 +24,8 @@
 	release      chan struct{}
 	started      chan string
 	disconnected chan struct{}
+	// refused gets the status of each refusal.
+	refused chan int
 }
 
 func (h *handler) Serve(ctx context.Context, r *ingress.Request) *ingress.Response {
@@ -39,19 +42,26 @@
 }
 
 func (h *handler) Refuse(status int) *ingress.Response {
+	h.refused <- status
 	return &ingress.Response{Status: status, Header: http.Header{}}
 }
 
 // start runs a server and returns it with its handler and its address.
 func start(t *testing.T) (*ingress.Server, *handler, string) {
+	t.Helper()
+	return startWithMemory(t, nil)
+}
+
+// startWithMemory does the same as start with a budget for the bodies of requests.
+func startWithMemory(t *testing.T, m *memory.Budget) (*ingress.Server, *handler, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	address := l.Addr().String()
 	assert.NilError(t, l.Close())
-	h := &handler{release: make(chan struct{}), started: make(chan string, 64), disconnected: make(chan struct{})}
+	h := &handler{release: make(chan struct{}), started: make(chan string, 64), disconnected: make(chan struct{}), refused: make(chan int, 64)}
 	s := &ingress.Server{
-		Address: address, Handler: h, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Address: address, Handler: h, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Memory: m,
 		Limits: func() ingress.Limits {
 			return ingress.Limits{HeaderBytes: 2000, BodyBytes: 100, HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second}
 		},
@@ -211,3 +221,33 @@
 	_, body := read(t, r)
 	assert.Equal(t, body, "POST /a ab")
 }
+
+// Requests whose bodies don't fit into the memory are refused before they run; the memory is free again once those that
+// use it are answered.
+func TestBodiesBeyondTheMemoryAreRefused(t *testing.T) {
+	_, h, address := startWithMemory(t, &memory.Budget{Bytes: 150})
+	post := func(path string) string {
+		return "POST " + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: 60\r\n\r\n" + strings.Repeat("x", 60)
+	}
+	first, firstReader := dial(t, address)
+	_, err := io.WriteString(first, post("/wait"))
+	assert.NilError(t, err)
+	<-h.started
+	second, secondReader := dial(t, address)
+	_, err = io.WriteString(second, post("/wait")+post("/second"))
+	assert.NilError(t, err)
+	<-h.started
+	assert.Equal(t, <-h.refused, http.StatusServiceUnavailable)
+	close(h.release)
+	response, _ := read(t, firstReader)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	response, _ = read(t, secondReader)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	response, _ = read(t, secondReader)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, len(h.started), 0, "the refused request has not run")
+	_, err = io.WriteString(first, post("/third"))
+	assert.NilError(t, err)
+	response, _ = read(t, firstReader)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+}
--- a/sidecar/ingress/write.go
+++ b/sidecar/ingress/write.go
@@ -14,6 +14,7 @@
 	isBroken := false
 	for x := range n.queue {
 		response := <-x.response
+		n.server.Memory.Release(x.held)
 		if isBroken {
 			continue
 		}
--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"siskinspar.example/sidecar/member"
+	"siskinspar.example/sidecar/memory"
 	"siskinspar.example/sidecar/message"
 	"siskinspar.example/sidecar/slot"
 	"siskinspar.example/sidecar/upstream"
@@ -69,6 +70,10 @@
 	OnChange func()
 	// OnDial is called for each connection that is opened to the backend server.
 	OnDial func()
+	// MaximumAnswerSize is the largest body of an answer in bytes, or 0 for the limit of package upstream.
+	MaximumAnswerSize int
+	// Memory bounds the bodies of answers while they are read; nil means no limit.
+	Memory *memory.Budget
 
 	mu    sync.Mutex
 	slots *slot.Controller
@@ -220,7 +225,10 @@
 		o.client.Close()
 	}
 	o.failures = failures{}
-	o.client = &upstream.Client{Address: s.Address, MaximumConnections: o.MaximumConnections(s.Service), IDHeader: o.Headers.IDHeader(), OnDial: o.OnDial}
+	o.client = &upstream.Client{
+		Address: s.Address, MaximumConnections: o.MaximumConnections(s.Service), IDHeader: o.Headers.IDHeader(), OnDial: o.OnDial,
+		MaximumBodySize: o.MaximumAnswerSize, Memory: o.Memory,
+	}
 	o.server = s
 }
 
--- a/sidecar/peer/connection.go
+++ b/sidecar/peer/connection.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"siskinspar.example/sidecar/bandwidth"
+	"siskinspar.example/sidecar/memory"
 )
 
 const (
@@ -21,7 +22,8 @@
 	redialDelay = 200 * time.Millisecond
 )
 
-// ErrNotSent is wrapped by Connection.Call if no connection was available, so that no byte of the call was sent.
+// ErrNotSent is wrapped by Connection.Call if no byte of the call was sent: no connection was available, or the
+// connection ended before.
 var ErrNotSent = eris.New("no connection to the daemon")
 
 // Connection is one connection to a daemon, which is dialled when a call needs it. It is safe for concurrent use.
@@ -30,6 +32,8 @@
 	Address string
 	// Pacer limits the rate at which large calls are sent; nil means no limit.
 	Pacer *bandwidth.Pacer
+	// Memory bounds the replies that are being read; nil means no limit.
+	Memory *memory.Budget
 
 	mu sync.Mutex
 	// client is nil while no connection is open.
@@ -52,19 +56,33 @@
 	}
 	c.addPending(1)
 	defer c.addPending(-1)
-	call := client.Go(method, arguments, reply, make(chan *rpc.Call, 1))
+	o := &outgoing{arguments: arguments}
+	done := make(chan *rpc.Call, 1)
+	// A large call waits for its turn on the link, and the context may end meanwhile.
+	go client.Go(method, o, reply, done)
 	select {
-	case <-call.Done:
-		if call.Error != nil {
-			c.drop(client)
-			return eris.Wrapf(call.Error, "call %s at %s", method, c.Address)
-		}
-		return nil
+	case call := <-done:
+		return c.handleResult(client, o, call.Error, method)
 	case <-ctx.Done():
+		if o.cancel() {
+			return eris.Wrapf(ErrNotSent, "call %s at %s: %v", method, c.Address, ctx.Err())
+		}
 		return eris.Wrapf(ctx.Err(), "call %s at %s", method, c.Address)
 	}
 }
 
+// handleResult closes the connection after a failed call, and returns the error of the call.
+func (c *Connection) handleResult(client *rpc.Client, o *outgoing, err error, method string) error {
+	if err == nil {
+		return nil
+	}
+	c.drop(client)
+	if o.cancel() {
+		return eris.Wrapf(ErrNotSent, "call %s at %s: %v", method, c.Address, err)
+	}
+	return eris.Wrapf(err, "call %s at %s", method, c.Address)
+}
+
 func (c *Connection) addPending(change int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -138,7 +156,7 @@
 	if err != nil {
 		c.failedAt = time.Now()
 	} else {
-		c.client = rpc.NewClient(newPacedConn(conn, c.Pacer))
+		c.client = rpc.NewClientWithCodec(clientCodec{newGobStream(newPacedConn(conn, c.Pacer), c.Memory)})
 	}
 	c.mu.Unlock()
 	close(done)
--- a/sidecar/peer/pool.go
+++ b/sidecar/peer/pool.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"siskinspar.example/sidecar/bandwidth"
+	"siskinspar.example/sidecar/memory"
 )
 
 // TrafficClass selects one of the connections to a daemon, so that large transfers don't delay small calls.
@@ -23,6 +24,8 @@
 type Pool struct {
 	// Pacer limits the rate at which large calls are sent on all connections; nil means no limit. It is set before use.
 	Pacer *bandwidth.Pacer
+	// Memory bounds the replies that are being read on all connections; nil means no limit. It is set before use.
+	Memory *memory.Budget
 
 	mu sync.Mutex
 	// connections is keyed by the address of the daemon.
@@ -47,7 +50,7 @@
 func (p *Pool) newConnections(address string) *[trafficClassCount]*Connection {
 	var connections [trafficClassCount]*Connection
 	for class := range trafficClassCount {
-		connections[class] = &Connection{Address: address, Pacer: p.Pacer}
+		connections[class] = &Connection{Address: address, Pacer: p.Pacer, Memory: p.Memory}
 	}
 	return &connections
 }
--- a/sidecar/peer/server.go
+++ b/sidecar/peer/server.go
@@ -11,6 +11,7 @@
 
 	"siskinspar.example/sidecar/bandwidth"
 	"siskinspar.example/sidecar/listener"
+	"siskinspar.example/sidecar/memory"
 )
 
 // ServiceName is the net/rpc service name of a daemon; the name of a call is ServiceName, a dot and the method.
@@ -25,6 +26,8 @@
 	Logger  *slog.Logger
 	// Pacer limits the rate at which large replies are sent; nil means no limit.
 	Pacer *bandwidth.Pacer
+	// Memory bounds the calls that are being read; nil means no limit.
+	Memory *memory.Budget
 
 	listener *listener.Listener
 	server   *rpc.Server
@@ -51,7 +54,7 @@
 	go func() {
 		defer s.group.Done()
 		defer s.track(c, false)
-		s.server.ServeConn(newPacedConn(c, s.Pacer))
+		s.server.ServeCodec(serverCodec{newGobStream(newPacedConn(c, s.Pacer), s.Memory)})
 	}()
 }
 
--- a/sidecar/peer/server_test.go
+++ b/sidecar/peer/server_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"siskinspar.example/sidecar/memory"
 	"siskinspar.example/sidecar/peer"
 )
 
@@ -22,14 +23,14 @@
 	return nil
 }
 
-// startServer runs a server of the service and returns it with its address.
-func startServer(t *testing.T, service any) (*peer.Server, string) {
+// startServer runs a server of the service with a memory budget, and returns it with its address.
+func startServer(t *testing.T, service any, m *memory.Budget) (*peer.Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	address := l.Addr().String()
 	assert.NilError(t, l.Close())
-	s := &peer.Server{Address: address, Service: service, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	s := &peer.Server{Address: address, Service: service, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Memory: m}
 	assert.NilError(t, s.Run())
 	return s, address
 }
@@ -37,7 +38,7 @@
 // A planned stop must not cut calls that other daemons have sent before it.
 func TestStopWaitsForTheRepliesOfCallsInProgress(t *testing.T) {
 	v := &slowService{started: make(chan struct{}), release: make(chan struct{})}
-	s, address := startServer(t, v)
+	s, address := startServer(t, v, nil)
 	c := &peer.Connection{Address: address}
 	result := make(chan error, 1)
 	var reply string
@@ -57,7 +58,7 @@
 
 func TestStopCutsCallsAfterItsLimit(t *testing.T) {
 	v := &slowService{started: make(chan struct{}), release: make(chan struct{})}
-	s, address := startServer(t, v)
+	s, address := startServer(t, v, nil)
 	c := &peer.Connection{Address: address}
 	result := make(chan error, 1)
 	go func() { result <- c.Call(t.Context(), peer.ServiceName+".Wait", 1, new(string)) }()
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -19,6 +19,7 @@
 	"siskinspar.example/sidecar/entry"
 	"siskinspar.example/sidecar/ingress"
 	"siskinspar.example/sidecar/member"
+	"siskinspar.example/sidecar/memory"
 	"siskinspar.example/sidecar/owner"
 	"siskinspar.example/sidecar/peer"
 	"siskinspar.example/sidecar/placement"
@@ -56,6 +57,7 @@
 	configuration *configuration.Holder
 	members       *member.Table
 	pacer         *bandwidth.Pacer
+	memory        *memory.Budget
 	pool          *peer.Pool
 	owner         *owner.Owner
 	quarantine    *Quarantine
@@ -77,7 +79,10 @@
 	s.quarantine = &Quarantine{}
 	s.configuration = &configuration.Holder{Decoder: s.Platform.Configuration, Logger: s.Logger}
 	s.pacer = bandwidth.NewPacer(s.Settings.LinkBits)
-	s.pool = &peer.Pool{Pacer: s.pacer}
+	if s.Settings.MemoryBytes > 0 {
+		s.memory = &memory.Budget{Bytes: int64(bodyMemoryShare * float64(s.Settings.MemoryBytes))}
+	}
+	s.pool = &peer.Pool{Pacer: s.pacer, Memory: s.memory}
 	following, stopFollowing := context.WithCancel(context.Background())
 	defer stopFollowing()
 	s.startOwner()
@@ -99,6 +104,13 @@
 	}
 }
 
+const (
+	// bodyMemoryShare is the share of the memory of the process that bodies may take while they are read.
+	bodyMemoryShare = 0.2
+	// answerMemoryShare is the share of that memory that the body of one answer may take.
+	answerMemoryShare = 0.06
+)
+
 // extraRequests is the number of requests that may wait at the backend server beyond its slots, so that the next one
 // runs without a message between daemons when a slot becomes free.
 const extraRequests = 1
@@ -112,6 +124,7 @@
 			}
 			return 0
 		},
+		MaximumAnswerSize: int(answerMemoryShare * float64(s.Settings.MemoryBytes)), Memory: s.memory,
 		OnDial: func() { metrics.GetOrRegisterCounter("owner.dials", s.registry).Inc(1) },
 	}
 	s.owner.Run()
@@ -166,8 +179,8 @@
 		Owners: owners, Quarantine: s.quarantine, Headers: s.Platform.Headers, Meter: meter{s.registry}, Logger: s.Logger, Random: random, RetryAllowance: s.Settings.RetryAllowance,
 		Placer: &placement.Placer{Address: s.Settings.Daemons, DataCentre: s.Settings.DataCentre, Random: random},
 	}
-	s.peers = &peer.Server{Address: s.Settings.Daemons, Service: &service{s}, Logger: s.Logger, Pacer: s.pacer}
-	s.ingress = &ingress.Server{Address: s.Settings.Clients, Handler: handler, Limits: s.limits, Logger: s.Logger, Pacer: s.pacer}
+	s.peers = &peer.Server{Address: s.Settings.Daemons, Service: &service{s}, Logger: s.Logger, Pacer: s.pacer, Memory: s.memory}
+	s.ingress = &ingress.Server{Address: s.Settings.Clients, Handler: handler, Limits: s.limits, Logger: s.Logger, Pacer: s.pacer, Memory: s.memory}
 	if err := s.peers.Run(); err != nil {
 		return err
 	}
--- a/sidecar/upstream/client.go
+++ b/sidecar/upstream/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"siskinspar.example/sidecar/memory"
 	"siskinspar.example/sidecar/message"
 )
 
@@ -66,6 +67,10 @@
 	IDHeader string
 	// OnDial, if set, is called before each attempt to open a connection.
 	OnDial func()
+	// MaximumBodySize is the largest body of an answer in bytes, or 0 for defaultBodySize.
+	MaximumBodySize int
+	// Memory bounds the bodies of answers while they are read; nil means no limit.
+	Memory *memory.Budget
 
 	mu sync.Mutex
 	// idle holds the unused open connections, the most recently used last.
@@ -74,10 +79,22 @@
 	open int
 }
 
-// Send sends a request at most once and returns the whole answer. It waits for the answer until the context ends or the
+// defaultBodySize limits the body of an answer if the client has no other limit, in bytes.
+const defaultBodySize = 64 << 20
+
+// maximumBodySize returns the largest body of an answer in bytes.
+func (c *Client) maximumBodySize() int {
+	if c.MaximumBodySize > 0 {
+		return c.MaximumBodySize
+	}
+	return defaultBodySize
+}
+
+// Send sends a request at most once and returns the whole answer. A request without an ID gets a connection of its own,
+// since nothing would distinguish its answer from a late one to an earlier request. It waits for the answer until the context ends or the
 // timeout, which starts when the connection is open, has passed.
 func (c *Client) Send(ctx context.Context, q message.Request, header http.Header, timeout time.Duration) Result {
-	n, err := c.acquire(ctx)
+	n, err := c.acquire(ctx, header.Get(c.IDHeader) != "")
 	if err != nil {
 		return Result{Outcome: NotSent, Err: err, IsRefused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
@@ -198,11 +215,12 @@
 // usualHeaderSize is the usual size of the headers of a request in bytes.
 const usualHeaderSize = 1 << 10
 
-// acquire returns the most recently used idle connection that is still usable, or opens one.
-func (c *Client) acquire(ctx context.Context) (*conn, error) {
+// acquire returns the most recently used idle connection that is still usable, or opens one. Without mayReuse it always
+// opens one.
+func (c *Client) acquire(ctx context.Context, mayReuse bool) (*conn, error) {
 	now := time.Now()
 	c.mu.Lock()
-	for len(c.idle) > 0 {
+	for mayReuse && len(c.idle) > 0 {
 		n := c.idle[len(c.idle)-1]
 		c.idle = c.idle[:len(c.idle)-1]
 		if n.isUsable(now) {
@@ -235,7 +253,7 @@
 		c.mu.Unlock()
 		return nil, eris.Wrapf(err, "connect to %s", c.Address)
 	}
-	return newConn(connection), nil
+	return newConn(connection, c), nil
 }
 
 // release makes an open connection available to other requests.
--- a/sidecar/upstream/conn.go
+++ b/sidecar/upstream/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -10,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"siskinspar.example/sidecar/memory"
 )
 
 const (
@@ -22,8 +23,8 @@
 	// maximumStrayAnswers is the largest number of answers to other requests that are skipped before the answer to the
 	// current request.
 	maximumStrayAnswers = 2
-	// maximumBodySize limits the body of an answer, which is held in memory, in bytes.
-	maximumBodySize = 64 << 20
+	// maximumHeadSize limits the heads of one answer, in bytes: its own and those of the interim answers before it.
+	maximumHeadSize = 64 << 10
 )
 
 // answer is a whole answer, or the error that occurred instead.
@@ -50,6 +51,9 @@
 // conn is a connection to the backend server. It carries one request at a time.
 type conn struct {
 	net.Conn
+	client *Client
+	// limit bounds the size of heads; reader reads through it.
+	limit   *memory.Limiter
 	reader  *bufio.Reader
 	answers chan answer
 	// expected passes each request to the reading goroutine before the request is sent.
@@ -62,9 +66,10 @@
 	expires time.Time
 }
 
-func newConn(c net.Conn) *conn {
+func newConn(c net.Conn, owner *Client) *conn {
+	l := &memory.Limiter{Reader: c}
 	n := &conn{
-		Conn: c, reader: bufio.NewReaderSize(c, readBufferSize), answers: make(chan answer, 1),
+		Conn: c, client: owner, limit: l, reader: bufio.NewReaderSize(l, readBufferSize), answers: make(chan answer, 1),
 		expected: make(chan exchange, 1), broken: make(chan struct{}),
 	}
 	go n.read()
@@ -81,7 +86,9 @@
 		select {
 		case x = <-n.expected:
 		default:
-			// Either bytes arrived without a request or the connection broke; it is not reused.
+			// Either bytes arrived without a request or the connection broke; it is not reused. It is closed at once,
+			// since a server in trouble may go on sending. If it is closed already, the error does not matter.
+			_ = n.Close()
 			return
 		}
 		if err != nil {
@@ -104,7 +111,7 @@
 			return a
 		}
 		if x.isAnsweredBy(a.response) {
-			a.isReusable = a.isReusable && n.reader.Buffered() == 0
+			a.isReusable = a.isReusable && x.id != "" && n.reader.Buffered() == 0
 			return a
 		}
 		if !a.isReusable {
@@ -114,25 +121,33 @@
 	return answer{err: eris.New("answers to other requests came in place of the own one")}
 }
 
-// readOne reads one whole answer, skipping interim ones, and sets when the connection expires.
+// readOne reads one whole answer, skipping interim ones, and sets when the connection expires. It waits for bytes as
+// long as the connection is open: the deadline of the request closes it, since silence alone is no failure.
 func (n *conn) readOne(r *http.Request) answer {
+	response, err := n.readHead(r)
+	if err != nil {
+		return answer{err: eris.Wrap(err, "parse the answer")}
+	}
+	body, err := memory.ReadBody(response.Body, response.ContentLength, n.client.maximumBodySize(), n.client.Memory)
+	if err != nil {
+		return answer{err: eris.Wrap(err, "read the body of the answer")}
+	}
+	n.expires = time.Now().Add(idleTimeout(response))
+	return answer{response: response, body: body, isReusable: !response.Close}
+}
+
+// readHead reads the head of an answer and those of the interim answers before it, which are dropped.
+func (n *conn) readHead(r *http.Request) (*http.Response, error) {
+	n.limit.Allow(maximumHeadSize - n.reader.Buffered())
+	defer n.limit.AllowAll()
 	for {
 		response, err := http.ReadResponse(n.reader, r)
 		if err != nil {
-			return answer{err: eris.Wrap(err, "parse the answer")}
-		}
-		if response.StatusCode/100 == 1 && response.StatusCode != http.StatusSwitchingProtocols {
-			continue
-		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, maximumBodySize+1))
-		if err != nil {
-			return answer{err: eris.Wrap(err, "read the body of the answer")}
+			return nil, err
 		}
-		if len(body) > maximumBodySize {
-			return answer{err: eris.Errorf("the answer is larger than %d bytes", maximumBodySize)}
+		if response.StatusCode/100 != 1 || response.StatusCode == http.StatusSwitchingProtocols {
+			return response, nil
 		}
-		n.expires = time.Now().Add(idleTimeout(response))
-		return answer{response: response, body: body, isReusable: !response.Close}
 	}
 }
 
