feat(sidecar): serve uploads, place by the bytes that a request moves

Change: the kind upload (large body, runs at most once). A body goes to another instance only for a granted slot, on the connection for large messages; the grant waits as long as the transfer takes, and the time of the transfer counts against target and deadline. The own data centre comes first, also to wait there, as for downloads. The readiness address says which configuration is in force and why the latest one was refused (version, host, route, value); metrics configuration.version and configuration.refused.

Tests: kinds, refusal texts, status of a daemon without a configuration, placing of uploads and of answers of some kilobytes.

--- a/sidecar/configuration/holder.go
+++ b/sidecar/configuration/holder.go
@@ -23,6 +23,9 @@
 
 	mu       sync.Mutex
 	document message.Document
+	// refusal says why the latest configuration was refused, or is nil if it is in force. refusals counts all.
+	refusal  error
+	refusals int64
 	table    atomic.Pointer[route.Table]
 }
 
@@ -44,11 +47,27 @@
 	return h.document
 }
 
+// Refusal returns why the latest configuration was refused, or nil if it is in force. The error names its version, the
+// place in it and the value.
+func (h *Holder) Refusal() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.refusal
+}
+
+// Refusals returns the number of configurations that were refused since the start.
+func (h *Holder) Refusals() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.refusals
+}
+
 // Install puts a configuration in force if it is valid and newer than the present one. Source says in the log where it
 // came from.
 func (h *Holder) Install(content []byte, source string) {
 	t, err := h.Decoder.Decode(content)
 	if err != nil {
+		h.recordRefusal(err)
 		h.Logger.Warn("configuration: refused", "source", source, "in-force", uint64(h.Version()), "error", err)
 		return
 	}
@@ -58,6 +77,13 @@
 	h.Logger.Info("configuration: in force", "version", uint64(t.Version()), "source", source)
 }
 
+func (h *Holder) recordRefusal(err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refusal = err
+	h.refusals++
+}
+
 // storeIfNewer puts a configuration in force and reports whether it is newer than the present one.
 func (h *Holder) storeIfNewer(t *route.Table, content []byte) bool {
 	h.mu.Lock()
@@ -66,6 +92,7 @@
 		return false
 	}
 	h.document = message.Document{Version: t.Version(), Content: content}
+	h.refusal = nil
 	h.table.Store(t)
 	return true
 }
--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -11,7 +11,6 @@
 	"siskinspar.example/sidecar/message"
 	"siskinspar.example/sidecar/owner"
 	"siskinspar.example/sidecar/peer"
-	"siskinspar.example/sidecar/route"
 )
 
 // directory lists the backend servers of the other daemons together with the one of this daemon.
@@ -66,7 +65,7 @@
 		}
 	}
 	class := peer.TrafficControl
-	if c.Job.Kind == route.Download {
+	if c.Job.Kind.IsLarge() {
 		class = peer.TrafficBulk
 	}
 	reply := new(message.Reply)
--- a/sidecar/entry/dispatch.go
+++ b/sidecar/entry/dispatch.go
@@ -145,11 +145,11 @@
 // selectDestination returns a backend server that appears to have a free slot, or the first one whose owner grants a
 // slot.
 //
-// A request with a large answer first tries, and waits for, the backend servers of the daemon's own data centre,
+// A request with a large body or answer first tries, and waits for, the backend servers of the daemon's own data centre,
 // because transfers between data centres are costly.
 func (h *Handler) selectDestination(ctx context.Context, c *clientCall, now time.Time, mayCallDirectly bool) (destination, bool) {
 	candidates := h.Directory.Candidates(now, c.service)
-	if c.route.Kind() == route.Download {
+	if c.route.Kind().IsLarge() {
 		if d, ok := h.selectAmong(ctx, c, h.Placer.InOwnDataCentre(candidates), now, mayCallDirectly); ok {
 			return d, true
 		}
@@ -159,17 +159,19 @@
 
 // selectAmong selects a destination among the candidates. A backend server that appears to have a free slot is called
 // without a reservation if mayCallDirectly; otherwise the request queues at several owners.
+//
+// A large body is sent to another instance only for a granted slot: a refusal would cost a second transfer.
 func (h *Handler) selectAmong(ctx context.Context, c *clientCall, candidates []member.Candidate, now time.Time, mayCallDirectly bool) (destination, bool) {
 	count := maximumQueues
-	isBulk := c.route.Kind() == route.Download
 	if len(candidates) > samplingThreshold {
 		count = sampledQueues
 	}
+	transfer := h.transfer(now, c)
 	h.mu.Lock()
-	free, ok := h.Placer.PickFree(now, candidates, c.tried, isBulk)
-	queues := h.Placer.PickQueues(now, candidates, c.tried, count, isBulk)
+	free, ok := h.Placer.PickFree(now, candidates, c.tried, transfer)
+	queues := h.Placer.PickQueues(now, candidates, c.tried, count, transfer)
 	h.mu.Unlock()
-	if ok && mayCallDirectly {
+	if ok && mayCallDirectly && (c.route.Kind() != route.Upload || free.Address == h.Address) {
 		return destination{candidate: free, job: h.newJob(c, free, 1)}, true
 	}
 	if len(queues) == 0 {
@@ -178,6 +180,18 @@
 	return h.reserve(ctx, c, queues)
 }
 
+// transfer returns what the request moves between this daemon and an owner.
+func (h *Handler) transfer(now time.Time, c *clientCall) placement.Transfer {
+	t := placement.Transfer{Kind: c.route.Kind()}
+	if h.Link != nil {
+		t.Backlog = h.Link.Backlog(now)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t.Size = h.meanSizes[c.route.Name()]
+	return t
+}
+
 // attempt sends the request to the owner of the destination, or to two owners if it is hedged. It returns the result
 // for the client, or done = false when another attempt may be made.
 func (h *Handler) attempt(ctx context.Context, c *clientCall, d destination) (done bool, r clientResult) {
@@ -201,8 +215,7 @@
 // which is message.Unknown.
 func (h *Handler) replyForError(ctx context.Context, c *clientCall, to member.Candidate, m *message.Call, isSent bool) message.Reply {
 	if !isSent {
-		h.Directory.RecordUnreachable(to.Address)
-		return message.Reply{Outcome: message.NotRun, Reason: "the owner can't be reached"}
+		return h.replyForUnsent(ctx, c, to)
 	}
 	h.Owners.Withdraw(to.Address, message.Withdrawal{Entry: h.Address, Number: m.Job.Number})
 	if ctx.Err() != nil {
@@ -211,12 +224,22 @@
 	return message.Reply{Reason: "no reply from the owner", IsExpired: !time.Now().Before(c.deadline)}
 }
 
+// replyForUnsent returns the reply for a call of which nothing was sent. The owner is taken as unreachable unless the
+// time was up before the call had its turn on the link.
+func (h *Handler) replyForUnsent(ctx context.Context, c *clientCall, to member.Candidate) message.Reply {
+	if ctx.Err() != nil || !time.Now().Before(c.deadline) {
+		return message.Reply{Outcome: message.NotRun, Reason: "the call was not sent in time"}
+	}
+	h.Directory.RecordUnreachable(to.Address)
+	return message.Reply{Outcome: message.NotRun, Reason: "the owner can't be reached"}
+}
+
 // handleRan handles an answer of the backend server. One with a status of 500 or more is kept, and the request is
 // retried if it is repeatable and within the route's attempts and the retry budget.
 func (h *Handler) handleRan(c *clientCall, to member.Candidate, reply message.Reply, took time.Duration) (bool, clientResult) {
 	c.arrivals++
 	if reply.Answer.Status < http.StatusInternalServerError {
-		h.recordAnswer(c, to.Server.ID, took)
+		h.recordAnswer(c, to.Server.ID, took, len(reply.Answer.Body))
 		h.Quarantine.RecordAnswer(c.fingerprint)
 		return true, clientResult{response: h.response(reply.Answer), outcome: message.Ran}
 	}
@@ -307,7 +330,16 @@
 func (h *Handler) newJob(c *clientCall, to member.Candidate, share float64) message.Job {
 	now := time.Now()
 	return message.Job{
-		Number: h.lastNumber.Add(1), Entry: h.Address, Server: to.Server.ID, Route: c.route.Name(), Priority: c.route.Priority(),
+		TransferTime: h.transferTime(now, c, to),
+		Number:       h.lastNumber.Add(1), Entry: h.Address, Server: to.Server.ID, Route: c.route.Name(), Priority: c.route.Priority(),
 		Kind: c.route.Kind(), IsNested: c.isNested, Target: c.target.Sub(now), Deadline: c.deadline.Sub(now), Share: share,
 	}
 }
+
+// transferTime returns how long the body of the request takes to reach an owner, over the link of this instance.
+func (h *Handler) transferTime(now time.Time, c *clientCall, to member.Candidate) time.Duration {
+	if h.Link == nil || to.Address == h.Address || c.route.Kind() != route.Upload {
+		return 0
+	}
+	return h.Link.Backlog(now) + h.Link.Duration(len(c.request.Body))
+}
--- a/sidecar/entry/handler.go
+++ b/sidecar/entry/handler.go
@@ -14,6 +14,7 @@
 	"siskinspar.example/sidecar/message"
 	"siskinspar.example/sidecar/placement"
 	"siskinspar.example/sidecar/route"
+	"siskinspar.example/sidecar/slot"
 )
 
 // Configuration provides the routes in force.
@@ -94,6 +95,8 @@
 	Placer *placement.Placer
 	// RetryAllowance bounds the retries and hedges for each service over all daemons.
 	RetryAllowance placement.RetryAllowance
+	// Link is the outgoing link of the instance, or nil for a link without limit.
+	Link slot.Link
 	// Random is used only under the lock.
 	Random *rand.Rand
 
@@ -106,6 +109,8 @@
 	timeLeftEstimates map[string]*placement.TimeLeftEstimate
 	// meanTimes holds the moving means of the answer times, by route.
 	meanTimes map[string]time.Duration
+	// meanSizes holds the moving means of the bytes of a request and its answer, by route.
+	meanSizes map[string]int
 }
 
 // smoothing is the weight of a new answer time in the moving mean of a route.
@@ -218,19 +223,27 @@
 	return b
 }
 
-// recordAnswer updates the mean answer time of the route and the placer's estimate for the backend server. The time
-// includes the transfer over the links between the daemons.
-func (h *Handler) recordAnswer(c *clientCall, server string, took time.Duration) {
+// recordAnswer updates the means of the route and the placer's estimate for the backend server. The time includes the
+// transfer over the links between the daemons; the size is that of the body of the answer in bytes.
+func (h *Handler) recordAnswer(c *clientCall, server string, took time.Duration, size int) {
+	name := c.route.Name()
+	transfer := h.transfer(time.Now(), c)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.meanTimes == nil {
 		h.meanTimes = map[string]time.Duration{}
+		h.meanSizes = map[string]int{}
 	}
-	name := c.route.Name()
 	mean, ok := h.meanTimes[name]
 	if !ok {
 		mean = took
 	}
 	h.meanTimes[name] = mean + time.Duration(smoothing*float64(took-mean))
-	h.Placer.RecordAnswer(server, took, mean, c.route.Kind() == route.Download)
+	size += len(c.request.Body)
+	meanSize, ok := h.meanSizes[name]
+	if !ok {
+		meanSize = size
+	}
+	h.meanSizes[name] = meanSize + int(smoothing*float64(size-meanSize))
+	h.Placer.RecordAnswer(server, took, mean, transfer)
 }
--- a/sidecar/entry/hedge.go
+++ b/sidecar/entry/hedge.go
@@ -8,6 +8,7 @@
 
 	"siskinspar.example/sidecar/member"
 	"siskinspar.example/sidecar/message"
+	"siskinspar.example/sidecar/placement"
 	"siskinspar.example/sidecar/route"
 )
 
@@ -119,7 +120,7 @@
 	daemons := h.Directory.Daemons()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	free, ok := h.Placer.PickFree(now, candidates, append(slices.Clone(c.tried), first.candidate.Server.ID), false)
+	free, ok := h.Placer.PickFree(now, candidates, append(slices.Clone(c.tried), first.candidate.Server.ID), placement.Transfer{Kind: c.route.Kind(), Size: h.meanSizes[c.route.Name()]})
 	if !ok || !h.budget(c.service).SpendOnHedge(now, daemons) {
 		return destination{}, false
 	}
--- a/sidecar/message/message.go
+++ b/sidecar/message/message.go
@@ -65,6 +65,8 @@
 	// and until the request times out. Target is below 0 once the request is late.
 	Target   time.Duration
 	Deadline time.Duration
+	// TransferTime is how long the body of the call takes to arrive once a slot is granted; it is 0 for a small one.
+	TransferTime time.Duration
 	// Share is the fraction of the request that counts as waiting at this owner; a request that waits at four owners has
 	// 0.25 at each.
 	Share float64
--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -31,7 +31,7 @@
 	waiting := o.addCall(q, t)
 	if decision == slot.Run {
 		defer o.mu.Unlock()
-		o.slots.Grant(t, now.Add(grantLifetime))
+		o.slots.Grant(t, now.Add(waiting.grantLifetime))
 		return message.Grant{Ticket: uint64(t), Load: o.load()}
 	}
 	o.mu.Unlock()
@@ -46,18 +46,19 @@
 
 // newSlotJob returns the job for which the slot controller decides on a slot.
 func (o *Owner) newSlotJob(now time.Time, q message.Job) slot.Job {
+	// The body of a request arrives after its slot is granted, so that much less time is left for the wait and the run.
 	// The answer to a request that entered at this daemon is sent to the client over the link of this instance once,
 	// whichever backend server gives it, so it need not wait for the link here.
 	isBulk := q.Kind == route.Download && q.Entry != o.Address
 	return slot.Job{
 		Class: q.Route, Priority: q.Priority,
-		Target: now.Add(q.Target), Deadline: now.Add(q.Deadline), Share: q.Share, IsBulk: isBulk, IsNested: q.IsNested,
+		Target: now.Add(q.Target - q.TransferTime), Deadline: now.Add(q.Deadline - q.TransferTime), Share: q.Share, IsBulk: isBulk, IsNested: q.IsNested,
 	}
 }
 
 // addCall registers a request that waits for a slot or has one; the caller holds the lock.
 func (o *Owner) addCall(q message.Job, t slot.Ticket) *trackedCall {
-	tc := &trackedCall{key: callKey{q.Entry, q.Number}, ticket: t, waitResult: make(chan slot.Reason, 1)}
+	tc := &trackedCall{key: callKey{q.Entry, q.Number}, ticket: t, waitResult: make(chan slot.Reason, 1), grantLifetime: grantLifetime + min(q.TransferTime, maximumTransferTime)}
 	o.calls[tc.key] = tc
 	o.tickets[t] = tc
 	return tc
--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -17,6 +17,8 @@
 const (
 	// grantLifetime is how long a granted slot waits for the call that claims it, before the grant expires.
 	grantLifetime = 250 * time.Millisecond
+	// maximumTransferTime bounds what the transfer of a large body may add to grantLifetime.
+	maximumTransferTime = time.Second
 	// advancePeriod is how often the queue is advanced while requests wait, besides each time that a slot becomes free.
 	advancePeriod = 10 * time.Millisecond
 	// unreachableTime is how long a backend server that does not listen gets no requests, unless it announces itself
@@ -113,6 +115,8 @@
 	waitResult chan slot.Reason
 	// cancel ends a running call; it is nil before the call starts.
 	cancel context.CancelFunc
+	// grantLifetime is how long a granted slot waits for the call: longer if the call has a large body.
+	grantLifetime time.Duration
 }
 
 // Run prepares the owner and starts the goroutine that advances the queue periodically.
@@ -300,7 +304,7 @@
 			continue
 		}
 		if change.IsRun() {
-			o.slots.Grant(change.Ticket(), time.Now().Add(grantLifetime))
+			o.slots.Grant(change.Ticket(), time.Now().Add(tc.grantLifetime))
 		} else {
 			o.removeCall(tc)
 		}
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -227,6 +227,28 @@
 	}
 }
 
+// A daemon without a configuration refuses all requests; its status says why it has none.
+func TestTheStatusNamesWhatIsWrongInARefusedConfiguration(t *testing.T) {
+	d := newDeployment(t)
+	d.store.PutAsOperator("op", "config", []byte(strings.Replace(fmt.Sprintf(document, 7, "desk"), `"kind":"safe"`, `"kind":"sturdy"`, 1)))
+	i := d.add("desk")
+	status := ""
+	for deadline := time.Now().Add(20 * time.Second); !strings.Contains(status, "refused") && time.Now().Before(deadline); {
+		if response, err := http.Get("http://" + i.settings.Readiness + "/readyz"); err == nil {
+			body, err := io.ReadAll(response.Body)
+			assert.NilError(t, err)
+			assert.NilError(t, response.Body.Close())
+			assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+			status = string(body)
+		}
+	}
+	for _, part := range []string{"configuration in force: none", "version 7", `route "r"`, `kind "sturdy"`} {
+		assert.Assert(t, cmp.Contains(status, part))
+	}
+	code, _ := d.get(i)
+	assert.Equal(t, code, http.StatusServiceUnavailable)
+}
+
 func TestADaemonStartedWhileTheStoreIsDownLearnsFromOtherDaemons(t *testing.T) {
 	d := newDeployment(t)
 	d.configure(1, "desk")
--- a/sidecar/placement/placement_test.go
+++ b/sidecar/placement/placement_test.go
@@ -9,10 +9,18 @@
 
 	"siskinspar.example/sidecar/member"
 	"siskinspar.example/sidecar/placement"
+	"siskinspar.example/sidecar/route"
 )
 
 var now = time.Unix(1000, 0)
 
+// The transfers of requests with small messages, with a large answer, and with a large body.
+var (
+	small    = placement.Transfer{Kind: route.Idempotent}
+	download = placement.Transfer{Kind: route.Download}
+	upload   = placement.Transfer{Kind: route.Upload}
+)
+
 func newPlacer() *placement.Placer {
 	return &placement.Placer{Address: "own", DataCentre: "a", Random: rand.New(rand.NewPCG(1, 1))}
 }
@@ -31,21 +39,23 @@
 		name       string
 		candidates []member.Candidate
 		tried      []string
-		isBulk     bool
+		transfer   placement.Transfer
 		picked     string
 	}{
-		{"the own backend server first", []member.Candidate{candidate("own", "a", 0), candidate("near", "a", 0)}, nil, false, "own"},
-		{"the own data centre before another", []member.Candidate{candidate("far", "b", 0), candidate("near", "a", 0)}, nil, false, "near"},
-		{"an empty one in another data centre before a nearly full one in the own", []member.Candidate{candidate("far", "b", 0), candidate("near", "a", 7)}, nil, false, "far"},
-		{"large answers stay in the own data centre", []member.Candidate{candidate("far", "b", 0), candidate("near", "a", 7)}, nil, true, "near"},
-		{"no full one", []member.Candidate{candidate("near", "a", 8)}, nil, false, ""},
-		{"none that was tried", []member.Candidate{candidate("near", "a", 0)}, []string{"near"}, false, ""},
-		{"none that fails many requests while there is another", []member.Candidate{failing, candidate("far", "b", 0)}, nil, false, "far"},
-		{"one that fails many requests rather than none", []member.Candidate{failing}, nil, false, "near"},
-		{"no unreachable one while there is another", []member.Candidate{unreachable, candidate("far", "b", 0)}, nil, false, "far"},
+		{"the own backend server first", []member.Candidate{candidate("own", "a", 0), candidate("near", "a", 0)}, nil, small, "own"},
+		{"the own data centre before another", []member.Candidate{candidate("far", "b", 0), candidate("near", "a", 0)}, nil, small, "near"},
+		{"an empty one in another data centre before a nearly full one in the own", []member.Candidate{candidate("far", "b", 0), candidate("near", "a", 7)}, nil, small, "far"},
+		{"large answers stay in the own data centre", []member.Candidate{candidate("far", "b", 0), candidate("near", "a", 7)}, nil, download, "near"},
+		{"large bodies stay in the own data centre", []member.Candidate{candidate("far", "b", 0), candidate("near", "a", 7)}, nil, upload, "near"},
+		{"so do answers of some kilobytes", []member.Candidate{candidate("far", "b", 0), candidate("near", "a", 4)}, nil, placement.Transfer{Size: 16 << 10}, "near"},
+		{"no full one", []member.Candidate{candidate("near", "a", 8)}, nil, small, ""},
+		{"none that was tried", []member.Candidate{candidate("near", "a", 0)}, []string{"near"}, small, ""},
+		{"none that fails many requests while there is another", []member.Candidate{failing, candidate("far", "b", 0)}, nil, small, "far"},
+		{"one that fails many requests rather than none", []member.Candidate{failing}, nil, small, "near"},
+		{"no unreachable one while there is another", []member.Candidate{unreachable, candidate("far", "b", 0)}, nil, small, "far"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			found, ok := newPlacer().PickFree(now, c.candidates, c.tried, c.isBulk)
+			found, ok := newPlacer().PickFree(now, c.candidates, c.tried, c.transfer)
 			assert.Equal(t, ok, c.picked != "")
 			assert.Equal(t, found.Address, c.picked)
 		})
@@ -58,45 +68,45 @@
 		p.RecordFailure(now, "near")
 	}
 	candidates := []member.Candidate{candidate("near", "a", 0), candidate("far", "b", 0)}
-	found, _ := p.PickFree(now, candidates, nil, false)
+	found, _ := p.PickFree(now, candidates, nil, small)
 	assert.Equal(t, found.Address, "far")
-	found, _ = p.PickFree(now.Add(5*time.Second), candidates, nil, false)
+	found, _ = p.PickFree(now.Add(5*time.Second), candidates, nil, small)
 	assert.Equal(t, found.Address, "near")
 }
 
 func TestASlowServerIsPickedAfterAFastOne(t *testing.T) {
 	p := newPlacer()
 	for range 20 {
-		p.RecordAnswer("near", 300*time.Millisecond, 100*time.Millisecond, false)
+		p.RecordAnswer("near", 300*time.Millisecond, 100*time.Millisecond, small)
 	}
-	found, _ := p.PickFree(now, []member.Candidate{candidate("near", "a", 0), candidate("far", "b", 0)}, nil, false)
+	found, _ := p.PickFree(now, []member.Candidate{candidate("near", "a", 0), candidate("far", "b", 0)}, nil, small)
 	assert.Equal(t, found.Address, "far")
 }
 
 func TestLargeAnswersAvoidASlowLink(t *testing.T) {
 	p := newPlacer()
 	for range 20 {
-		p.RecordAnswer("slow", 900*time.Millisecond, 200*time.Millisecond, true)
+		p.RecordAnswer("slow", 900*time.Millisecond, 200*time.Millisecond, download)
 	}
 	candidates := []member.Candidate{candidate("slow", "a", 0), candidate("fast", "a", 4)}
-	found, _ := p.PickFree(now, candidates, nil, true)
+	found, _ := p.PickFree(now, candidates, nil, download)
 	assert.Equal(t, found.Address, "fast")
-	found, _ = p.PickFree(now, candidates, nil, false)
+	found, _ = p.PickFree(now, candidates, nil, small)
 	assert.Equal(t, found.Address, "slow", "the link does not matter for small answers")
-	queues := p.PickQueues(now, []member.Candidate{candidate("slow", "a", 8), candidate("fast", "a", 8)}, nil, 1, true)
+	queues := p.PickQueues(now, []member.Candidate{candidate("slow", "a", 8), candidate("fast", "a", 8)}, nil, 1, download)
 	assert.Equal(t, queues[0].Address, "fast")
 }
 
 func TestLargeAnswersAvoidAFullLinkUnlessItIsTheOwn(t *testing.T) {
 	full, empty, own := candidate("full", "a", 0), candidate("empty", "a", 4), candidate("own", "a", 4)
 	full.Load.Backlog, own.Load.Backlog = time.Second, time.Second
-	found, _ := newPlacer().PickFree(now, []member.Candidate{full, empty}, nil, true)
+	found, _ := newPlacer().PickFree(now, []member.Candidate{full, empty}, nil, download)
 	assert.Equal(t, found.Address, "empty")
-	found, _ = newPlacer().PickFree(now, []member.Candidate{full, empty, own}, nil, true)
+	found, _ = newPlacer().PickFree(now, []member.Candidate{full, empty, own}, nil, download)
 	assert.Equal(t, found.Address, "own", "an answer from the own backend server is sent over the own link only once")
-	found, _ = newPlacer().PickFree(now, []member.Candidate{full, empty}, nil, false)
+	found, _ = newPlacer().PickFree(now, []member.Candidate{full, empty}, nil, small)
 	assert.Equal(t, found.Address, "full", "the link does not matter for small answers")
-	queues := newPlacer().PickQueues(now, []member.Candidate{full, empty}, nil, 1, true)
+	queues := newPlacer().PickQueues(now, []member.Candidate{full, empty}, nil, 1, download)
 	assert.Equal(t, queues[0].Address, "empty")
 }
 
@@ -110,7 +120,7 @@
 	p := newPlacer()
 	picked := map[string]int{}
 	for range 600 {
-		for _, c := range p.PickQueues(now, many, nil, 4, false) {
+		for _, c := range p.PickQueues(now, many, nil, 4, small) {
 			picked[c.Address]++
 		}
 	}
--- a/sidecar/placement/placer.go
+++ b/sidecar/placement/placer.go
@@ -25,13 +25,6 @@
 	failureSmoothing = 0.15
 	// failureLifetime is how long the failures of a backend server count after the last one.
 	failureLifetime = 3 * time.Second
-	// otherCentreDelay is what a backend server in another data centre adds to the expected time of a request.
-	otherCentreDelay = 12 * time.Millisecond
-	// otherCentreBulkDelay is the same for large answers; it is higher because the bytes between data centres are
-	// costly.
-	otherCentreBulkDelay = 150 * time.Millisecond
-	// sameCentreDelay is what another instance of the own data centre adds.
-	sameCentreDelay = 2 * time.Millisecond
 	// maximumBacklog is the wait for the link of an instance above which a large answer is not sent there without a
 	// granted slot. It is longer than the limit of the owner, maximumLinkBacklog in package slot: the owner knows how
 	// far the backlog shrinks until the answer is ready.
@@ -44,8 +37,7 @@
 	fullLoadSlowdown = 0.5
 )
 
-// Placer picks backend servers for the requests that one daemon receives from clients. The parameter isBulk of its
-// methods is true for a request with a large answer, which is one of kind route.Download. It is not safe for concurrent
+// Placer picks backend servers for the requests that one daemon receives from clients. It is not safe for concurrent
 // use.
 type Placer struct {
 	// Address is the address of this daemon; it is set before use.
@@ -63,7 +55,7 @@
 type observation struct {
 	// relativeTime is the moving average of the time to an answer, divided by the mean answer time of its route.
 	relativeTime float64
-	// bulkRelativeTime is the same for large answers; it includes the time on the links.
+	// bulkRelativeTime is the same for large bodies and answers; it includes the time on the links.
 	bulkRelativeTime float64
 	// failureShare is the moving average of the share of failed requests.
 	failureShare float64
@@ -85,14 +77,14 @@
 
 // RecordAnswer records an answer of a backend server: the time that it took, as measured by the entry daemon, and the
 // mean answer time of its route. With a mean of 0 only the success counts.
-func (p *Placer) RecordAnswer(id string, took, mean time.Duration, isBulk bool) {
+func (p *Placer) RecordAnswer(id string, took, mean time.Duration, t Transfer) {
 	o := p.observationOf(id)
 	o.failureShare -= failureSmoothing * o.failureShare
 	if mean <= 0 {
 		return
 	}
 	sample := min(float64(took)/float64(mean), maximumRelativeTime)
-	if isBulk {
+	if t.Kind.IsLarge() {
 		o.bulkRelativeTime += smoothing * (sample - o.bulkRelativeTime)
 		return
 	}
@@ -101,12 +93,12 @@
 
 // relativeTimeOf returns how long a backend server takes, relative to the mean answer time of a route; it is 1 for an
 // unknown one.
-func (p *Placer) relativeTimeOf(id string, isBulk bool) float64 {
+func (p *Placer) relativeTimeOf(id string, t Transfer) float64 {
 	o, ok := p.observed[id]
 	switch {
 	case !ok:
 		return 1
-	case isBulk:
+	case t.Kind.IsLarge():
 		return o.bulkRelativeTime
 	}
 	return o.relativeTime
@@ -127,19 +119,19 @@
 
 // PickFree returns the backend server with a free slot that is expected to answer first, or false if there is none. The
 // IDs of tried backend servers are left out, and for a large answer other instances with more than maximumBacklog.
-func (p *Placer) PickFree(now time.Time, candidates []member.Candidate, tried []string, isBulk bool) (member.Candidate, bool) {
+func (p *Placer) PickFree(now time.Time, candidates []member.Candidate, tried []string, t Transfer) (member.Candidate, bool) {
 	var best member.Candidate
 	var bestTime time.Duration
 	found := false
 	usable := p.usable(now, candidates, tried)
 	p.Random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
 	for _, c := range usable {
-		if !c.Load.IsFree() || isBulk && c.Address != p.Address && c.Load.Backlog > maximumBacklog {
+		if !c.Load.IsFree() || t.isDownload() && c.Address != p.Address && c.Load.Backlog > maximumBacklog {
 			continue
 		}
-		t := p.expectedTime(c, isBulk)
-		if !found || t < bestTime {
-			best, bestTime, found = c, t, true
+		expected := p.expectedTime(c, t)
+		if !found || expected < bestTime {
+			best, bestTime, found = c, expected, true
 		}
 	}
 	return best, found
@@ -158,26 +150,22 @@
 
 // PickQueues returns up to count backend servers in whose queues a request should wait, the shortest expected wait
 // first. If there are no more than count, their order is random.
-func (p *Placer) PickQueues(now time.Time, candidates []member.Candidate, tried []string, count int, isBulk bool) []member.Candidate {
+func (p *Placer) PickQueues(now time.Time, candidates []member.Candidate, tried []string, count int, t Transfer) []member.Candidate {
 	usable := p.usable(now, candidates, tried)
 	p.Random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
 	if len(usable) <= count {
 		return usable
 	}
 	slices.SortStableFunc(usable, func(a, b member.Candidate) int {
-		return cmp.Compare(p.expectedWait(a, isBulk), p.expectedWait(b, isBulk))
+		return cmp.Compare(p.expectedWait(a, t), p.expectedWait(b, t))
 	})
 	return usable[:count]
 }
 
 // expectedWait estimates the wait for a slot at a backend server from its load per slot and its relative time, and adds
-// the transfer delay of a large answer. It only serves to compare backend servers.
-func (p *Placer) expectedWait(c member.Candidate, isBulk bool) time.Duration {
-	t := time.Duration(float64(referenceServiceTime) * loadPerSlot(c) * p.relativeTimeOf(c.Server.ID, isBulk))
-	if isBulk {
-		t += p.transferDelay(c, isBulk)
-	}
-	return t
+// the delay of the transfer. It only serves to compare backend servers.
+func (p *Placer) expectedWait(c member.Candidate, t Transfer) time.Duration {
+	return time.Duration(float64(referenceServiceTime)*loadPerSlot(c)*p.relativeTimeOf(c.Server.ID, t)) + t.delay(p, c)
 }
 
 // loadPerSlot returns the running and waiting requests of a backend server for each slot. An old load is replaced by
@@ -216,24 +204,7 @@
 
 // expectedTime estimates the time until an answer arrives here; it only serves to compare backend servers of one
 // service.
-func (p *Placer) expectedTime(c member.Candidate, isBulk bool) time.Duration {
-	relativeTime := p.relativeTimeOf(c.Server.ID, isBulk)
-	t := time.Duration(float64(referenceServiceTime) * relativeTime * (1 + fullLoadSlowdown*loadPerSlot(c)))
-	return t + p.transferDelay(c, isBulk)
-}
-
-// transferDelay returns what the network adds to the time of a request, both ways, including the wait for the link of
-// the instance for a large answer.
-func (p *Placer) transferDelay(c member.Candidate, isBulk bool) time.Duration {
-	switch {
-	case c.Address == p.Address:
-		return 0
-	case c.DataCentre == p.DataCentre && isBulk:
-		return sameCentreDelay + c.Load.Backlog
-	case c.DataCentre == p.DataCentre:
-		return sameCentreDelay
-	case isBulk:
-		return otherCentreBulkDelay + c.Load.Backlog
-	}
-	return otherCentreDelay
+func (p *Placer) expectedTime(c member.Candidate, t Transfer) time.Duration {
+	relativeTime := p.relativeTimeOf(c.Server.ID, t)
+	return time.Duration(float64(referenceServiceTime)*relativeTime*(1+fullLoadSlowdown*loadPerSlot(c))) + t.delay(p, c)
 }
--- a/sidecar/route/route.go
+++ b/sidecar/route/route.go
@@ -13,10 +13,15 @@
 	Idempotent
 	// Download requests are idempotent and have large answers; see slot.Job.IsBulk.
 	Download
+	// Upload requests have large bodies and run at most once, like Unrepeatable ones.
+	Upload
 )
 
 // IsRepeatable reports whether a request of the kind may run again.
-func (k Kind) IsRepeatable() bool { return k != Unrepeatable }
+func (k Kind) IsRepeatable() bool { return k == Idempotent || k == Download }
+
+// IsLarge reports whether the body of a request of the kind, or its answer, is usually large.
+func (k Kind) IsLarge() bool { return k == Download || k == Upload }
 
 // Cluster is a service that gets a part of the requests of a route, by its weight.
 type Cluster struct {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -176,7 +179,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	handler := &entry.Handler{
 		Address: s.Settings.Daemons, Service: s.Settings.Service, Configuration: s.configuration, Directory: directory,
-		Owners: owners, Quarantine: s.quarantine, Headers: s.Platform.Headers, Meter: meter{s.registry}, Logger: s.Logger, Random: random, RetryAllowance: s.Settings.RetryAllowance,
+		Owners: owners, Quarantine: s.quarantine, Headers: s.Platform.Headers, Meter: meter{s.registry}, Logger: s.Logger, Random: random, RetryAllowance: s.Settings.RetryAllowance, Link: s.pacer,
 		Placer: &placement.Placer{Address: s.Settings.Daemons, DataCentre: s.Settings.DataCentre, Random: random},
 	}
 	s.peers = &peer.Server{Address: s.Settings.Daemons, Service: &service{s}, Logger: s.Logger, Pacer: s.pacer, Memory: s.memory}
@@ -248,16 +251,38 @@
 // isReady reports whether the daemon has a configuration and is not stopping, so that clients may send it requests.
 func (s *Sidecar) isReady() bool { return !s.isStopping.Load() && s.configuration.Table() != nil }
 
+// newReadiness returns the handler of readiness checks. The body of its answer says which configuration is in force and
+// why the latest one was refused.
 func (s *Sidecar) newReadiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !s.isReady() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
-			return
+			w.WriteHeader(http.StatusServiceUnavailable)
 		}
-		w.WriteHeader(http.StatusOK)
+		// The error is ignored: whoever closed the connection needs no answer.
+		_, _ = io.WriteString(w, s.status())
 	})
 }
 
+// status describes the readiness of the daemon in a few lines.
+func (s *Sidecar) status() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "stopping: %v\n", s.isStopping.Load())
+	if t := s.configuration.Table(); t != nil {
+		fmt.Fprintf(&b, "configuration in force: version %d\n", t.Version())
+	} else {
+		b.WriteString("configuration in force: none\n")
+	}
+	if err := s.configuration.Refusal(); err != nil {
+		fmt.Fprintf(&b, "latest configuration refused: %v\n", err)
+	}
+	return b.String()
+}
+
 func (s *Sidecar) newMetrics() http.Handler {
+	version := metrics.NewFunctionalGauge(func() int64 { return int64(s.configuration.Version()) })
+	refusals := metrics.NewFunctionalGauge(s.configuration.Refusals)
+	// The registry is new, so the names are free.
+	_ = s.registry.Register("configuration.version", version)
+	_ = s.registry.Register("configuration.refused", refusals)
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(s.registry, w) })
 }
