feat(sidecar): follow the configuration at the store through relays of each data centre

Change: package sidecar/relay picks two relays of each data centre by the rendezvous hashing of package distribution (now in one pass over the members) among the daemons that are alive and can read the store. They follow it and probe their data centre at once on a new version; the others fetch it from them, compressed, at once, and from another data centre after 0.5 s, two fetches at a time and 1.5 s each. A daemon that has heard of no relay that can read the store for 2 to 3 s follows it itself; one whose read failed is no relay for 5 s. Relays are probed in each round. Two daemons that believe different things both follow; versions only grow.

--- a/distribution/relay.go
+++ b/distribution/relay.go
@@ -19,14 +19,33 @@
 // Instances that know different members may pick different relays. Relays beyond RelayCount cost reads of the store and
 // bandwidth but never correctness, since versions are ordered.
 func Relays(group []membership.Record, d membership.DataCentre) []membership.Record {
-	ranked := slices.Clone(group)
-	slices.SortFunc(ranked, func(a, b membership.Record) int {
-		if c := cmp.Compare(rendezvousScore(d, b.ID), rendezvousScore(d, a.ID)); c != 0 {
-			return c
+	var best []scoredRecord
+	for _, r := range group {
+		c := scoredRecord{record: r, score: rendezvousScore(d, r.ID)}
+		at, _ := slices.BinarySearchFunc(best, c, scoredRecord.compare)
+		if at < RelayCount {
+			best = slices.Insert(best, at, c)[:min(RelayCount, len(best)+1)]
 		}
-		return cmp.Compare(a.ID, b.ID)
-	})
-	return ranked[:min(RelayCount, len(ranked))]
+	}
+	relays := make([]membership.Record, len(best))
+	for i, c := range best {
+		relays[i] = c.record
+	}
+	return relays
+}
+
+// scoredRecord is a member with its rank among the relays.
+type scoredRecord struct {
+	record membership.Record
+	score  uint64
+}
+
+// compare orders members with a higher score first.
+func (s scoredRecord) compare(o scoredRecord) int {
+	if c := cmp.Compare(o.score, s.score); c != 0 {
+		return c
+	}
+	return cmp.Compare(s.record.ID, o.record.ID)
 }
 
 // IsRelay reports whether an instance is one of the given relays.
--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -12,6 +12,7 @@
 // Probe stores the state of the calling daemon and replies with that of this one.
 func (v *service) Probe(p *message.Probe, reply *message.Probe) error {
 	v.sidecar.ReceiveProbe(*p)
+	v.sidecar.prober.HandleProbe(*p)
 	*reply = v.sidecar.Probe(p.Record.Address)
 	return nil
 }
--- a/sidecar/configuration/holder.go
+++ b/sidecar/configuration/holder.go
@@ -20,8 +20,13 @@
 	// Decoder and Logger are set before use.
 	Decoder Decoder
 	Logger  *slog.Logger
+	// OnChange is called with the source of each configuration that comes into force; it is set before use, or nil.
+	OnChange func(source string)
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// content is the configuration in force as the operator wrote it; document is the same for other daemons, once one
+	// has asked for it.
+	content  []byte
 	document message.Document
 	// refusal says why the latest configuration was refused, or is nil if it is in force. refusals counts all.
 	refusal  error
@@ -40,11 +45,21 @@
 	return 0
 }
 
-// Document returns the configuration in force as the operator wrote it.
+// Document returns the configuration in force for another daemon, or an empty one.
 func (h *Holder) Document() message.Document {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.document
+	version := h.Version()
+	if h.document.Version == version {
+		return h.document
+	}
+	d, err := message.NewDocument(version, h.content)
+	if err != nil {
+		h.Logger.Error("configuration: can't be passed on", "version", uint64(version), "error", err)
+		return message.Document{}
+	}
+	h.document = d
+	return d
 }
 
 // Refusal returns why the latest configuration was refused, or nil if it is in force. The error names its version, the
@@ -75,6 +90,9 @@
 		return
 	}
 	h.Logger.Info("configuration: in force", "version", uint64(t.Version()), "source", source)
+	if h.OnChange != nil {
+		h.OnChange(source)
+	}
 }
 
 func (h *Holder) recordRefusal(err error) {
@@ -91,7 +109,7 @@
 	if t.Version() <= h.Version() {
 		return false
 	}
-	h.document = message.Document{Version: t.Version(), Content: content}
+	h.content = content
 	h.refusal = nil
 	h.table.Store(t)
 	return true
--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -123,6 +123,6 @@
 	server, load := s.owner.Server()
 	return member.Record{
 		Address: s.Settings.Daemons, DataCentre: s.Settings.DataCentre, Incarnation: s.incarnation,
-		Sequence: s.sequence.Add(1), Server: server, Load: load, IsStopping: s.isStopping.Load(),
+		Sequence: s.sequence.Add(1), Server: server, Load: load, IsStopping: s.isStopping.Load(), IsStoreDown: s.isStoreDown(time.Now()),
 	}
 }
--- a/sidecar/discovery/follower.go
+++ b/sidecar/discovery/follower.go
@@ -32,6 +32,8 @@
 	// OnRows is called with all rows after each List, and with the changed rows after a Feed. It is called by one
 	// goroutine.
 	OnRows func(rows []Row)
+	// OnResult is called after each call of the store with its error, or nil; it is set before Run, or nil.
+	OnResult func(err error)
 
 	isDown bool
 	done   chan struct{}
@@ -62,11 +64,15 @@
 		}
 		if err != nil {
 			f.markDown(ctx, err)
+			if ctx.Err() == nil {
+				f.report(err)
+			}
 			sleep(ctx, jitter(backoff))
 			backoff = min(2*backoff, maximumBackoff)
 			continue
 		}
 		f.markUp()
+		f.report(nil)
 		backoff = initialBackoff
 		isListed = true
 		version = max(version, page.Version)
@@ -95,6 +101,12 @@
 	return f.Store.Feed(callCtx, f.Table, version, wait)
 }
 
+func (f *Follower) report(err error) {
+	if f.OnResult != nil {
+		f.OnResult(err)
+	}
+}
+
 // markDown logs the first failure of an outage; failures because the context ended don't count.
 func (f *Follower) markDown(ctx context.Context, err error) {
 	if f.isDown || ctx.Err() != nil {
--- a/sidecar/discovery/prober.go
+++ b/sidecar/discovery/prober.go
@@ -16,13 +16,16 @@
 
 const (
 	// fetchTimeout limits the call that fetches the configuration or the list of daemons from another daemon.
-	fetchTimeout = 3 * time.Second
+	fetchTimeout = 1500 * time.Millisecond
+	// maximumFetches is the number of fetches of the configuration at once, from the own data centre and from others.
+	maximumFetches = 2
 	// probePeriod is the mean time between two rounds of probes; each is jittered.
 	probePeriod = 700 * time.Millisecond
 	// probesPerRound is the number of daemons probed in a round. In a larger mesh the rounds go through the daemons in
 	// order of address.
 	probesPerRound = 16
-	// fetchDelay gives the store time to deliver a new configuration before another daemon is asked for it.
+	// fetchDelay gives the relays of the own data centre time to deliver a new configuration before a daemon of another
+	// one is asked for it.
 	fetchDelay = 500 * time.Millisecond
 	// probeTimeout limits the wait for the reply to a probe.
 	probeTimeout = time.Second
@@ -56,29 +59,41 @@
 // Prober exchanges probes with all other daemons. The exported fields are set before Run.
 type Prober struct {
 	// Address is the address at which other daemons reach this one; it is not probed.
-	Address       string
+	Address string
+	// DataCentre is that of this daemon.
+	DataCentre    string
 	Members       *member.Table
 	Pool          *peer.Pool
 	StateExchange StateExchange
 	Configuration Configuration
 	Logger        *slog.Logger
+	// Relays returns the addresses of the relays of this data centre, which are probed in each round.
+	Relays func() []string
 
 	mu sync.Mutex
 	// inFlight holds the addresses of daemons with an unanswered probe.
 	inFlight map[string]bool
 	probeAll chan struct{}
-	done     chan struct{}
-	round    int
+	// probeNeighbours starts a round for the daemons of this data centre.
+	probeNeighbours chan struct{}
+	done            chan struct{}
+	round           int
 	// cursor is the index of the first address of the next round.
 	cursor int
-	// isFetching is true while a configuration is being fetched, including the delay before.
-	isFetching bool
+	// fetching counts the configurations that are being fetched, including the delay before, from daemons of this data
+	// centre (true) and of others (false).
+	fetching map[bool]int
+	// ctx is the context of Run.
+	ctx context.Context
 }
 
 // Run starts a goroutine that probes until the context ends.
 func (p *Prober) Run(ctx context.Context) {
+	p.ctx = ctx
 	p.inFlight = map[string]bool{}
+	p.fetching = map[bool]int{}
 	p.probeAll = make(chan struct{}, 1)
+	p.probeNeighbours = make(chan struct{}, 1)
 	p.done = make(chan struct{})
 	go func() {
 		defer close(p.done)
@@ -97,17 +112,36 @@
 	}
 }
 
+// ProbeNeighbours starts a round that probes all daemons of this data centre without delay, so that they learn of a new
+// configuration.
+func (p *Prober) ProbeNeighbours() {
+	select {
+	case p.probeNeighbours <- struct{}{}:
+	default:
+	}
+}
+
+// HandleProbe fetches a newer configuration from a daemon that has sent a probe, without waiting for the end.
+func (p *Prober) HandleProbe(received message.Probe) {
+	if received.Version > p.Configuration.Version() {
+		go p.fetchNewer(p.ctx, received.Record, received.Version)
+	}
+}
+
 // loop runs one round of probes per period, and one at once after calls of ProbeAll.
 func (p *Prober) loop(ctx context.Context) {
 	last := time.Now()
 	for ctx.Err() == nil {
-		isProbeAll := false
+		var addresses []string
 		timer := time.NewTimer(jitter(probePeriod))
 		select {
 		case <-ctx.Done():
 		case <-p.probeAll:
-			isProbeAll = true
+			addresses = p.Members.Addresses()
+		case <-p.probeNeighbours:
+			addresses = p.neighbours()
 		case <-timer.C:
+			addresses = p.due(p.Members.Addresses())
 		}
 		timer.Stop()
 		now := time.Now()
@@ -116,17 +150,23 @@
 		}
 		last = now
 		p.round++
-		addresses := p.Members.Addresses()
-		if !isProbeAll {
-			addresses = p.due(addresses)
-		}
 		for _, a := range addresses {
 			p.startProbe(ctx, a)
 		}
 	}
 }
 
-// due returns the daemons to probe in this round: the next probesPerRound in order, and up to as many unreachable ones.
+// neighbours returns the addresses of the daemons of this data centre that are alive.
+func (p *Prober) neighbours() []string {
+	var addresses []string
+	for _, n := range p.Members.Neighbours(p.DataCentre) {
+		addresses = append(addresses, n.Address)
+	}
+	return addresses
+}
+
+// due returns the daemons to probe in this round: the relays, the next probesPerRound in order, and up to as many
+// unreachable ones.
 func (p *Prober) due(addresses []string) []string {
 	if len(addresses) <= probesPerRound {
 		return addresses
@@ -134,6 +174,11 @@
 	p.cursor %= len(addresses)
 	due := slices.Concat(addresses[p.cursor:], addresses[:p.cursor])[:probesPerRound]
 	p.cursor += probesPerRound
+	for _, a := range p.Relays() {
+		if !slices.Contains(due, a) {
+			due = append(due, a)
+		}
+	}
 	now := time.Now()
 	for _, a := range addresses {
 		if p.Members.UnreachableFor(now, a) > 0 && len(due) < 2*probesPerRound && !slices.Contains(due, a) {
@@ -198,42 +243,60 @@
 // catchUp fetches the configuration from a daemon with a newer one, and the list of daemons from one that knows more.
 func (p *Prober) catchUp(ctx context.Context, address string, reply message.Probe) {
 	if reply.Version > p.Configuration.Version() {
-		p.fetchNewer(ctx, address, reply.Version)
+		p.fetchNewer(ctx, reply.Record, reply.Version)
 	}
 	if reply.Known > p.Members.Len() {
 		p.fetchMembers(ctx, address)
 	}
 }
 
-// fetchNewer fetches a configuration unless the store delivers it first or another fetch is in progress.
-func (p *Prober) fetchNewer(ctx context.Context, address string, v route.Version) {
-	p.mu.Lock()
-	isInProgress := p.isFetching
-	p.isFetching = true
-	p.mu.Unlock()
-	if isInProgress {
+// fetchNewer fetches a configuration unless maximumFetches are in progress. One from another data centre is fetched only
+// if no daemon of the own one delivers it within fetchDelay.
+func (p *Prober) fetchNewer(ctx context.Context, from member.Record, v route.Version) {
+	isNear := from.DataCentre == p.DataCentre
+	if !p.beginFetch(isNear) {
 		return
 	}
-	if p.Configuration.Version() > 0 {
+	defer p.endFetch(isNear)
+	if !isNear && p.Configuration.Version() > 0 {
 		sleep(ctx, fetchDelay)
 	}
 	if p.Configuration.Version() < v && ctx.Err() == nil {
-		p.fetchConfiguration(ctx, address)
+		p.fetchConfiguration(ctx, from.Address)
 	}
+}
+
+// beginFetch reports whether another fetch may begin, and counts it.
+func (p *Prober) beginFetch(isNear bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.isFetching = false
+	if p.fetching[isNear] >= maximumFetches {
+		return false
+	}
+	p.fetching[isNear]++
+	return true
+}
+
+func (p *Prober) endFetch(isNear bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fetching[isNear]--
 }
 
 func (p *Prober) fetchConfiguration(ctx context.Context, address string) {
 	callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var document message.Document
-	if err := p.Pool.Connection(address, peer.TrafficBulk).Call(callCtx, peer.ServiceName+".Configuration", &message.Empty{}, &document); err != nil {
+	if err := p.Pool.Connection(address, peer.TrafficControl).Call(callCtx, peer.ServiceName+".Configuration", &message.Empty{}, &document); err != nil {
 		p.Logger.Warn("discovery: fetch of the configuration failed", "daemon", address, "error", err)
 		return
 	}
-	p.Configuration.Install(document.Content, address)
+	content, err := document.Content()
+	if err != nil {
+		p.Logger.Warn("discovery: the configuration of another daemon can't be read", "daemon", address, "error", err)
+		return
+	}
+	p.Configuration.Install(content, address)
 }
 
 func (p *Prober) fetchMembers(ctx context.Context, address string) {
@@ -245,7 +308,7 @@
 		return
 	}
 	for _, a := range addresses {
-		if p.Members.Add(a) {
+		if p.Members.Add(a, "") {
 			p.Logger.Info("discovery: daemon found", "daemon", a, "through", address)
 		}
 	}
--- /dev/null
+++ b/sidecar/follow.go
@@ -0,0 +1,102 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"siskinspar.example/sidecar/discovery"
+	"siskinspar.example/sidecar/relay"
+)
+
+const (
+	// followPeriod is the time between two decisions whether this daemon follows the store.
+	followPeriod = 250 * time.Millisecond
+	// registrationTimeout is how long the first decision waits for the list of the other daemons.
+	registrationTimeout = 1500 * time.Millisecond
+	// storeDownMemory is how long a daemon counts as unable to read the store after a failed read. After that it may be
+	// a relay again, which shows whether it still can't.
+	storeDownMemory = 5 * time.Second
+)
+
+// storeFollower follows the configuration at the store while this daemon has to.
+type storeFollower struct {
+	sidecar *Sidecar
+	// stop ends the follower; it is nil while there is none.
+	stop context.CancelFunc
+}
+
+// run decides again and again whether to follow the store, until the context ends.
+func (f *storeFollower) run(ctx context.Context, registered <-chan struct{}) {
+	select {
+	case <-registered:
+	case <-time.After(registrationTimeout):
+	case <-ctx.Done():
+	}
+	ticker := time.NewTicker(followPeriod)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		f.decide(ctx, time.Now())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// decide starts or stops the follower.
+func (f *storeFollower) decide(ctx context.Context, now time.Time) {
+	s := f.sidecar
+	mustFollow := s.mustFollow(now)
+	switch {
+	case mustFollow && f.stop == nil:
+		following, stop := context.WithCancel(ctx)
+		f.stop = stop
+		follower := &discovery.Follower{
+			Table: s.Platform.ConfigurationTable, Store: s.Platform.Store, Logger: s.Logger, OnRows: s.installRows, OnResult: s.recordStoreResult,
+		}
+		follower.Run(following)
+		s.Logger.Info("daemon: follows the store", "relays", s.relays(now))
+	case !mustFollow && f.stop != nil:
+		f.stop()
+		f.stop = nil
+		s.Logger.Info("daemon: leaves the store to the relays", "relays", s.relays(now))
+	}
+}
+
+// mustFollow reports whether this daemon follows the store.
+func (s *Sidecar) mustFollow(now time.Time) bool {
+	s.selectorLock.Lock()
+	defer s.selectorLock.Unlock()
+	return s.selector.MustFollow(now, s.neighbours(), s.isStoreDown(now))
+}
+
+// relays returns the addresses of the relays of this data centre.
+func (s *Sidecar) relays(now time.Time) []string {
+	return s.selector.Relays(s.neighbours(), s.isStoreDown(now))
+}
+
+// neighbours returns the daemons of this data centre that are alive.
+func (s *Sidecar) neighbours() []relay.Member {
+	known := s.members.Neighbours(s.Settings.DataCentre)
+	members := make([]relay.Member, len(known))
+	for i, n := range known {
+		members[i] = relay.Member{Address: n.Address, IsStoreDown: n.IsStoreDown, LastContact: n.LastReport}
+	}
+	return members
+}
+
+// recordStoreResult records whether a read of the store succeeded. The other daemons of the data centre learn of a
+// change with the next probes.
+func (s *Sidecar) recordStoreResult(err error) {
+	if err == nil {
+		s.storeFailedAt.Store(0)
+		return
+	}
+	s.storeFailedAt.Store(time.Now().UnixNano())
+}
+
+// isStoreDown reports whether this daemon can't read the store, as far as it knows.
+func (s *Sidecar) isStoreDown(now time.Time) bool {
+	failedAt := s.storeFailedAt.Load()
+	return failedAt != 0 && now.Sub(time.Unix(0, failedAt)) < storeDownMemory
+}
--- a/sidecar/member/record.go
+++ b/sidecar/member/record.go
@@ -71,6 +71,8 @@
 	Server     Server
 	Load       Load
 	IsStopping bool
+	// IsStoreDown is true while the daemon can't read the store.
+	IsStoreDown bool
 }
 
 // IsNewer reports whether the record is of a later incarnation, or of a higher sequence in the same incarnation,
--- a/sidecar/member/table.go
+++ b/sidecar/member/table.go
@@ -42,17 +42,50 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{members: map[string]*daemonState{}} }
 
-// Add adds a daemon of which only the address is known and reports whether the address is new.
-func (t *Table) Add(address string) bool {
+// Add adds a daemon of which only the address and perhaps the data centre are known, and reports whether the address is
+// new.
+func (t *Table) Add(address, dataCentre string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if _, ok := t.members[address]; ok {
 		return false
 	}
-	t.members[address] = &daemonState{}
+	t.members[address] = &daemonState{record: Record{Address: address, DataCentre: dataCentre}}
 	return true
 }
 
+// DataCentre returns the data centre of a daemon, or an empty string if it is not known.
+func (t *Table) DataCentre(address string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.members[address]; ok {
+		return e.record.DataCentre
+	}
+	return ""
+}
+
+// Neighbour is another daemon of one data centre.
+type Neighbour struct {
+	Address     string
+	IsStoreDown bool
+	// LastReport is when the daemon was last heard of; it is zero for one of which only the address is known.
+	LastReport time.Time
+}
+
+// Neighbours returns the daemons of a data centre that are neither stopping nor unreachable, in no order.
+func (t *Table) Neighbours(dataCentre string) []Neighbour {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found []Neighbour
+	for address, e := range t.members {
+		if e.record.DataCentre != dataCentre || e.record.IsStopping || !e.unreachableSince.IsZero() {
+			continue
+		}
+		found = append(found, Neighbour{Address: address, IsStoreDown: e.record.IsStoreDown, LastReport: e.lastReport})
+	}
+	return found
+}
+
 // Len returns the number of daemons in the table.
 func (t *Table) Len() int {
 	t.mu.Lock()
--- a/sidecar/message/message.go
+++ b/sidecar/message/message.go
@@ -145,11 +145,5 @@
 	Age time.Duration
 }
 
-// Document is a configuration as the operator wrote it.
-type Document struct {
-	Version route.Version
-	Content []byte
-}
-
 // Empty is a message without content.
 type Empty struct{}
--- a/sidecar/register.go
+++ b/sidecar/register.go
@@ -18,6 +18,16 @@
 	DataCentre string `json:"dataCentre"`
 }
 
+// registeredDataCentre returns the data centre in the row of a daemon, or an empty string if the row can't be read: its
+// data centre is then learned from the daemon itself.
+func registeredDataCentre(value []byte) string {
+	var r registration
+	if json.Unmarshal(value, &r) != nil {
+		return ""
+	}
+	return r.DataCentre
+}
+
 // addRows adds the daemons of the rows to the table of members and probes at once if one is new.
 func (s *Sidecar) addRows(rows []discovery.Row) {
 	for _, r := range rows {
@@ -28,7 +38,7 @@
 		if r.Key == s.Settings.Daemons || r.IsRemoved {
 			continue
 		}
-		if s.members.Add(r.Key) {
+		if s.members.Add(r.Key, registeredDataCentre(r.Value)) {
 			s.Logger.Info("daemon: found another daemon", "address", r.Key)
 			s.prober.ProbeAll()
 		}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,7 @@
 	"siskinspar.example/sidecar/owner"
 	"siskinspar.example/sidecar/peer"
 	"siskinspar.example/sidecar/placement"
+	"siskinspar.example/sidecar/relay"
 	"siskinspar.example/sidecar/settings"
 )
 
@@ -65,7 +67,11 @@
 	owner         *owner.Owner
 	quarantine    *Quarantine
 	prober        *discovery.Prober
-	followers     []*discovery.Follower
+	// selectorLock guards selector.MustFollow; the tables that it reads have locks of their own, taken after it.
+	selectorLock sync.Mutex
+	selector     *relay.Selector
+	// storeFailedAt is when the store last failed a read, in nanoseconds since 1970, or 0 after a success.
+	storeFailedAt atomic.Int64
 	ingress       *ingress.Server
 	peers         *peer.Server
 	servers       []*http.Server
@@ -80,7 +86,8 @@
 	s.registry = metrics.NewRegistry()
 	s.members = member.NewTable()
 	s.quarantine = &Quarantine{}
-	s.configuration = &configuration.Holder{Decoder: s.Platform.Configuration, Logger: s.Logger}
+	s.configuration = &configuration.Holder{Decoder: s.Platform.Configuration, Logger: s.Logger, OnChange: s.announceConfiguration}
+	s.selector = &relay.Selector{Address: s.Settings.Daemons, DataCentre: s.Settings.DataCentre, Jitter: rand.Float64()}
 	s.pacer = bandwidth.NewPacer(s.Settings.LinkBits)
 	if s.Settings.MemoryBytes > 0 {
 		s.memory = &memory.Budget{Bytes: int64(bodyMemoryShare * float64(s.Settings.MemoryBytes))}
@@ -93,8 +100,12 @@
 	if err := s.startListeners(); err != nil {
 		return err
 	}
-	s.startFollowers(following)
-	go s.register(following)
+	registered := make(chan struct{})
+	go func() {
+		defer close(registered)
+		s.register(following)
+	}()
+	go (&storeFollower{sidecar: s}).run(following, registered)
 	s.Logger.Info("daemon: started", "instance", s.Settings.Instance, "data-centre", s.Settings.DataCentre, "service", s.Settings.Service, "incarnation", s.incarnation)
 	for {
 		select {
@@ -141,7 +152,8 @@
 
 func (s *Sidecar) startProber(ctx context.Context) {
 	s.prober = &discovery.Prober{
-		Address: s.Settings.Daemons, Members: s.members, Pool: s.pool, StateExchange: s, Configuration: s.configuration, Logger: s.Logger,
+		Address: s.Settings.Daemons, DataCentre: s.Settings.DataCentre, Members: s.members, Pool: s.pool, StateExchange: s, Configuration: s.configuration, Logger: s.Logger,
+		Relays: func() []string { return s.relays(time.Now()) },
 	}
 	s.addSeeds(s.Settings.Seeds)
 	s.prober.Run(ctx)
@@ -157,7 +169,7 @@
 	added := 0
 	for _, a := range seeds {
 		address := netip.AddrPortFrom(a, own.Port()).String()
-		if address != s.Settings.Daemons && s.members.Add(address) {
+		if address != s.Settings.Daemons && s.members.Add(address, "") {
 			added++
 		}
 	}
@@ -230,24 +242,26 @@
 	return ingress.Limits(t.Limits())
 }
 
-func (s *Sidecar) startFollowers(ctx context.Context) {
-	s.followers = []*discovery.Follower{
-		{Table: s.Platform.ConfigurationTable, Store: s.Platform.Store, Logger: s.Logger, OnRows: s.installRows},
-	}
-	for _, f := range s.followers {
-		f.Run(ctx)
-	}
-}
-
 // installRows passes the configuration among the changed rows of the store to the holder.
 func (s *Sidecar) installRows(rows []discovery.Row) {
 	for _, r := range rows {
 		if r.Key == s.Platform.ConfigurationKey && !r.IsRemoved {
-			s.configuration.Install(r.Value, "store")
+			s.configuration.Install(r.Value, storeSource)
 		}
 	}
 }
 
+// storeSource names the store as the source of a configuration.
+const storeSource = "store"
+
+// announceConfiguration tells the other daemons of this data centre of a new configuration, unless it came from one of
+// them: that one tells them itself.
+func (s *Sidecar) announceConfiguration(source string) {
+	if source == storeSource || s.members.DataCentre(source) != s.Settings.DataCentre {
+		s.prober.ProbeNeighbours()
+	}
+}
+
 // isReady reports whether the daemon has a configuration and is not stopping, so that clients may send it requests.
 func (s *Sidecar) isReady() bool { return !s.isStopping.Load() && s.configuration.Table() != nil }
 
