fix(sidecar): tell nested requests from those of clients that wait briefly

On the large site the nested lookups have 1,200 ms and did not count.

Change: a nested request expires with the request that waits for it at the same instance. A request with more time left than any that runs at the backend server beside its daemon so comes from a client; four in a hundred such requests show that clients use a route, and daemons tell each other in their probes. Of the other routes those count as nested whose first attempts have at most 0.4 of the longest time left of any route. No absolute time is left in the rule.

--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -51,7 +51,7 @@
 func (s *Sidecar) Probe(to string) message.Probe {
 	return message.Probe{
 		Record: s.record(), Version: s.configuration.Version(), Known: s.members.Len(),
-		Crashes: s.quarantine.Recent(time.Now()), Left: s.members.LastDraining(to),
+		Crashes: s.quarantine.Recent(time.Now()), Left: s.members.LastDraining(to), ClientRoutes: s.entry.ClientRoutes(),
 	}
 }
 
@@ -68,6 +68,7 @@
 		s.Logger.Info("daemon: another daemon or its backend server changed", "daemon", p.Record.Address, "server", p.Record.Server.ID, "state", p.Record.Server.State.String(), "stopping", p.Record.IsStopping)
 	}
 	s.quarantine.Merge(now, p.Crashes)
+	s.entry.MergeClientRoutes(p.ClientRoutes)
 	if p.Left.ID != "" {
 		s.owner.RecordDrain(p.Left)
 	}
--- a/sidecar/entry/handler.go
+++ b/sidecar/entry/handler.go
@@ -71,6 +71,12 @@
 	Forwarded(h http.Header) http.Header
 }
 
+// Running knows the requests that run at the backend server beside this daemon.
+type Running interface {
+	// LongestTimeLeft returns the longest time that any of them has left until its deadline, or 0 if none runs.
+	LongestTimeLeft(now time.Time) time.Duration
+}
+
 // Meter counts the requests by outcome.
 type Meter interface {
 	// Count adds one request with its outcome, the HTTP status of its response and the time since its arrival.
@@ -88,6 +94,7 @@
 	Directory     Directory
 	Owners        Owners
 	Quarantine    Quarantine
+	Running       Running
 	Headers       Headers
 	Meter         Meter
 	Logger        *slog.Logger
@@ -105,8 +112,8 @@
 	mu         sync.Mutex
 	// budgets holds the retry budgets by service.
 	budgets map[string]*placement.Budget
-	// timeLeftEstimates holds the estimates of how long clients wait, by route.
-	timeLeftEstimates map[string]*placement.TimeLeftEstimate
+	// timeLeft estimates how long clients wait, and which requests are nested.
+	timeLeft placement.TimeLeftEstimates
 	// meanTimes holds the moving means of the answer times, by route.
 	meanTimes map[string]time.Duration
 	// meanSizes holds the moving means of the bytes of a request and its answer, by route.
@@ -175,9 +182,10 @@
 	if target <= 0 {
 		target = timeout
 	}
+	longestRunning := h.Running.LongestTimeLeft(r.Arrived)
 	h.mu.Lock()
 	service := matched.Service(h.Random.Float64())
-	waited, isNested := h.recordTimeLeft(matched.Name(), clientTimeout)
+	waited, isNested := h.recordTimeLeft(r.Arrived, matched.Name(), clientTimeout, longestRunning)
 	h.mu.Unlock()
 	return &clientCall{
 		route: matched, service: service, deadline: r.Arrived.Add(timeout), clientDeadline: r.Arrived.Add(clientWait),
@@ -191,20 +199,26 @@
 
 // recordTimeLeft records how much longer the client of a request waits. It returns the estimated time that the client
 // has waited in earlier attempts, and whether the request is probably nested. The caller holds the lock.
-func (h *Handler) recordTimeLeft(route string, left time.Duration) (waited time.Duration, isNested bool) {
+func (h *Handler) recordTimeLeft(now time.Time, route string, left, longestRunning time.Duration) (waited time.Duration, isNested bool) {
 	if left <= 0 {
 		return 0, false
 	}
-	if h.timeLeftEstimates == nil {
-		h.timeLeftEstimates = map[string]*placement.TimeLeftEstimate{}
-	}
-	e, ok := h.timeLeftEstimates[route]
-	if !ok {
-		e = &placement.TimeLeftEstimate{}
-		h.timeLeftEstimates[route] = e
-	}
-	e.AddSample(left)
-	return e.Waited(left), e.IsNested(left)
+	h.timeLeft.Record(route, left, longestRunning)
+	return h.timeLeft.Waited(now, route, left), h.timeLeft.IsNested(now, route)
+}
+
+// ClientRoutes returns the routes of which this daemon has found that clients use them, for other daemons.
+func (h *Handler) ClientRoutes() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.timeLeft.ClientRoutes()
+}
+
+// MergeClientRoutes records the routes of which another daemon has found that clients use them.
+func (h *Handler) MergeClientRoutes(routes []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.timeLeft.MergeClientRoutes(time.Now(), routes)
 }
 
 // defaultTimeout is the timeout of a request for which neither the client nor the route states one.
--- a/sidecar/entry/handler_test.go
+++ b/sidecar/entry/handler_test.go
@@ -53,6 +53,9 @@
 
 func (f *fakeDaemons) Table() *route.Table { return f.table }
 func (f *fakeDaemons) Daemons() int        { return 3 }
+func (f *fakeDaemons) LongestTimeLeft(time.Time) time.Duration {
+	return 0
+}
 func (f *fakeDaemons) Candidates(time.Time, string) []member.Candidate {
 	var found []member.Candidate
 	for _, id := range []string{"a", "b", "c"} {
@@ -134,7 +137,7 @@
 	f.table = table
 	random := rand.New(rand.NewPCG(1, 1))
 	return &entry.Handler{
-		Address: "e", Service: "desk", Configuration: f, Directory: f, Owners: f, Quarantine: f, Headers: dialect.Headers{}, Meter: f,
+		Address: "e", Service: "desk", Configuration: f, Directory: f, Owners: f, Quarantine: f, Running: f, Headers: dialect.Headers{}, Meter: f,
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Random: random, Placer: &placement.Placer{Address: "e", Random: random},
 		RetryAllowance: placement.RetryAllowance{Ratio: 0.2, Slack: 60, Window: 10 * time.Second},
 	}
--- a/sidecar/message/message.go
+++ b/sidecar/message/message.go
@@ -127,6 +127,8 @@
 	Version route.Version
 	// Crashes are the recent crashes that the sender knows.
 	Crashes []Crash
+	// ClientRoutes are the routes of which the sender has found that clients use them, and not nested requests alone.
+	ClientRoutes []string
 	// Known is the number of daemons that the sender knows.
 	Known int
 	// Left is the latest backend server beside the receiver that the receiver reported as draining to the sender. The
--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -58,7 +58,10 @@
 
 // addCall registers a request that waits for a slot or has one; the caller holds the lock.
 func (o *Owner) addCall(q message.Job, t slot.Ticket) *trackedCall {
-	tc := &trackedCall{key: callKey{q.Entry, q.Number}, ticket: t, waitResult: make(chan slot.Reason, 1), grantLifetime: grantLifetime + min(q.TransferTime, maximumTransferTime)}
+	tc := &trackedCall{
+		key: callKey{q.Entry, q.Number}, ticket: t, waitResult: make(chan slot.Reason, 1), deadline: time.Now().Add(q.Deadline),
+		grantLifetime: grantLifetime + min(q.TransferTime, maximumTransferTime),
+	}
 	o.calls[tc.key] = tc
 	o.tickets[t] = tc
 	return tc
--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -117,6 +117,8 @@
 	cancel context.CancelFunc
 	// grantLifetime is how long a granted slot waits for the call: longer if the call has a large body.
 	grantLifetime time.Duration
+	// deadline is that of the request.
+	deadline time.Time
 }
 
 // Run prepares the owner and starts the goroutine that advances the queue periodically.
@@ -184,6 +186,19 @@
 	}
 }
 
+// LongestTimeLeft implements entry.Running.
+func (o *Owner) LongestTimeLeft(now time.Time) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	longest := time.Duration(0)
+	for _, tc := range o.tickets {
+		if tc.cancel != nil {
+			longest = max(longest, tc.deadline.Sub(now))
+		}
+	}
+	return longest
+}
+
 // Announce applies an announcement of the backend server and reports whether its ID, state or incarnation changed.
 //
 // An announcement of an earlier incarnation or with an earlier sequence number changes nothing, and neither does any
--- a/sidecar/placement/doc.go
+++ b/sidecar/placement/doc.go
@@ -6,7 +6,7 @@
 // A nested request is one that a backend server sends while it runs another
 // request, whose answer waits for it. If a nested request is refused, the work on
 // the other one is lost. No message says that a request is nested: it is guessed
-// from the short time that its client still waits, see TimeLeftEstimate.IsNested.
+// from the time that its client still waits, see TimeLeftEstimates.
 //
 // The package reads no clock and takes no locks: package entry passes in the
 // current time and the random source and serialises the calls.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -66,6 +66,7 @@
 	pool          *peer.Pool
 	owner         *owner.Owner
 	quarantine    *Quarantine
+	entry         *entry.Handler
 	prober        *discovery.Prober
 	// selectorLock guards selector.MustFollow; the tables that it reads have locks of their own, taken after it.
 	selectorLock sync.Mutex
@@ -96,6 +97,7 @@
 	following, stopFollowing := context.WithCancel(context.Background())
 	defer stopFollowing()
 	s.startOwner()
+	s.newEntry()
 	s.startProber(following)
 	if err := s.startListeners(); err != nil {
 		return err
@@ -185,17 +187,21 @@
 	s.Logger.Info("daemon: settings reloaded", "new-daemons", changed)
 }
 
-func (s *Sidecar) startListeners() error {
+// newEntry prepares the part that serves clients.
+func (s *Sidecar) newEntry() {
 	directory := &directory{table: s.members, owner: s.owner, address: s.Settings.Daemons, dataCentre: s.Settings.DataCentre}
 	owners := &owners{address: s.Settings.Daemons, local: s.owner, pool: s.pool}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	handler := &entry.Handler{
+	s.entry = &entry.Handler{
 		Address: s.Settings.Daemons, Service: s.Settings.Service, Configuration: s.configuration, Directory: directory,
-		Owners: owners, Quarantine: s.quarantine, Headers: s.Platform.Headers, Meter: meter{s.registry}, Logger: s.Logger, Random: random, RetryAllowance: s.Settings.RetryAllowance, Link: s.pacer,
+		Owners: owners, Quarantine: s.quarantine, Running: s.owner, Headers: s.Platform.Headers, Meter: meter{s.registry}, Logger: s.Logger, Random: random, RetryAllowance: s.Settings.RetryAllowance, Link: s.pacer,
 		Placer: &placement.Placer{Address: s.Settings.Daemons, DataCentre: s.Settings.DataCentre, Random: random},
 	}
+}
+
+func (s *Sidecar) startListeners() error {
 	s.peers = &peer.Server{Address: s.Settings.Daemons, Service: &service{s}, Logger: s.Logger, Pacer: s.pacer, Memory: s.memory}
-	s.ingress = &ingress.Server{Address: s.Settings.Clients, Handler: handler, Limits: s.limits, Logger: s.Logger, Pacer: s.pacer, Memory: s.memory}
+	s.ingress = &ingress.Server{Address: s.Settings.Clients, Handler: s.entry, Limits: s.limits, Logger: s.Logger, Pacer: s.pacer, Memory: s.memory}
 	if err := s.peers.Run(); err != nil {
 		return err
 	}
--- a/sidecar/slot/client_retry_test.go
+++ b/sidecar/slot/client_retry_test.go
@@ -13,11 +13,11 @@
 
 // serveClients simulates a load of 1.6 times the capacity whose refused clients retry once. It returns how many
 // requests were answered by their target, counted from the first attempt, and how many at all. With isEstimated the
-// target of a retry counts from the first attempt, as estimated by placement.TimeLeftEstimate; without, it counts from
+// target of a retry counts from the first attempt, as estimated by placement.TimeLeftEstimates; without, it counts from
 // the retry.
 func serveClients(seed uint64, isEstimated bool) (inTime, served int) {
 	s := &simulator{controller: newController(loadSlots), random: rand.New(rand.NewPCG(seed, 1))}
-	estimate := &placement.TimeLeftEstimate{}
+	estimate := &placement.TimeLeftEstimates{}
 	began := make([]time.Time, s.schedule(loadSpan, float64(loadMean)/loadSlots/1.6))
 	hasRetried := make([]bool, len(began))
 	s.work = func() time.Duration { return s.lognormal(loadMean) }
@@ -27,10 +27,10 @@
 		}
 		deadline := began[number].Add(loadDeadline)
 		left := deadline.Sub(now)
-		estimate.AddSample(left)
+		estimate.Record("c", left, 0)
 		target := now.Add(loadTarget)
 		if isEstimated {
-			target = target.Add(-estimate.Waited(left))
+			target = target.Add(-estimate.Waited(now, "c", left))
 		}
 		s.offer(now, number, slot.Job{Class: "c", Target: target, Deadline: deadline, Share: 1})
 	}
