fix(entry): report a hedged request that did not run as not run

The retry budget was charged before the quarantine was asked. A client that left while its request waited for a slot was logged as "no slot before the deadline".

Change: the arrival is taken back when one of the two calls has not run; the quarantine is asked first; the log says that the client disconnected.

"no call runs" in TestSlowRequestsAreHedged fails without (502). Cases for uploads in TestResponseForEachOutcome.

--- a/sidecar/entry/dispatch.go
+++ b/sidecar/entry/dispatch.go
@@ -46,8 +46,8 @@
 	// tried lists the IDs of the backend servers that failed or refused the request; they are not selected again.
 	tried []string
 	// arrivals is the number of attempts that ran the request or may have run it; the route's attempts bound it. An
-	// attempt counts when its result is known. A hedge counts when it is sent, so that a hedged attempt may count twice
-	// although one of its two calls did not run.
+	// attempt counts when its result is known. A hedge counts when it is sent, and no more once one of the two calls has
+	// not run.
 	arrivals int
 	// failedAnswer is the latest answer with a status of 500 or more; the client gets it if no retry succeeds.
 	failedAnswer *message.Answer
@@ -289,7 +289,7 @@
 	if c.failedAnswer == nil && (reply.IsExpired || !time.Now().Before(c.deadline)) {
 		return true, h.errorResult(c, message.Unknown, http.StatusGatewayTimeout, reply.Reason)
 	}
-	if c.route.Kind().IsRepeatable() && h.beginRetry(c, to) && !h.Quarantine.IsQuarantined(c.fingerprint) {
+	if c.route.Kind().IsRepeatable() && !h.Quarantine.IsQuarantined(c.fingerprint) && h.beginRetry(c, to) {
 		return false, clientResult{}
 	}
 	return true, h.failedResult(c)
--- a/sidecar/entry/handler_test.go
+++ b/sidecar/entry/handler_test.go
@@ -184,6 +184,9 @@
 		{"the server rejects it", route.Unrepeatable, []scriptedCall{rejected, ran(200)}, 200, 2},
 		{"unknown outcome, then all servers are draining", route.Idempotent, []scriptedCall{unknown(), draining, draining}, 502, 3},
 		{"a refusal, then an unknown outcome", route.Unrepeatable, []scriptedCall{draining, unknown()}, 502, 2},
+		{"an upload that may have run", route.Upload, []scriptedCall{unknown()}, 502, 1},
+		{"an upload that a server failed", route.Upload, []scriptedCall{ran(500)}, 500, 1},
+		{"an upload that was not sent", route.Upload, []scriptedCall{unreachable, ran(200)}, 200, 2},
 		{"no free slot at first", route.Unrepeatable, []scriptedCall{notRun(string(slot.ReasonBusy)), ran(200)}, 200, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/sidecar/entry/hedge.go
+++ b/sidecar/entry/hedge.go
@@ -134,6 +134,8 @@
 	c.tried = append(c.tried, s.to.Server.ID)
 	c.reason = s.reply.Reason
 	if s.reply.Outcome == message.NotRun {
+		// The hedge was counted when it was sent, so that one of the two calls is counted before its result.
+		c.arrivals--
 		return
 	}
 	h.recordFailure(s.to.Server.ID)
--- a/sidecar/entry/hedge_test.go
+++ b/sidecar/entry/hedge_test.go
@@ -50,6 +50,7 @@
 		{"both calls fail", route.Idempotent, []scriptedCall{delayed(time.Second, unknown()), delayed(meanTime, ran(500))}, 500, 2, 2 * time.Second},
 		{"the second call does not run", route.Idempotent, []scriptedCall{delayed(time.Second, ran(200)), notRun("draining")}, 200, 2, 2 * time.Second},
 		{"the first call does not run", route.Idempotent, []scriptedCall{delayed(time.Second, notRun("draining")), delayed(time.Second, ran(200))}, 200, 2, 2 * time.Second},
+		{"no call runs", route.Idempotent, []scriptedCall{delayed(time.Second, notRun("draining")), notRun("draining"), notRun("draining")}, 503, 3, 2 * time.Second},
 		{"answer in the mean time", route.Idempotent, []scriptedCall{delayed(meanTime, ran(200))}, 200, 1, time.Second},
 		{"unrepeatable", route.Unrepeatable, []scriptedCall{slow}, 200, 1, 5 * time.Second},
 		{"large answers", route.Download, []scriptedCall{slow}, 200, 1, 5 * time.Second},
--- a/sidecar/entry/reserve.go
+++ b/sidecar/entry/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"siskinspar.example/sidecar/member"
@@ -18,7 +19,7 @@
 
 // reserve asks several owners for a slot at once, uses the first one that is granted and withdraws the other
 // reservations. It reports false when all owners refuse, the deadline passes or the client disconnects, and sets the
-// reason of the request; "no slot before the deadline" covers a client that disconnected as well.
+// reason of the request.
 func (h *Handler) reserve(ctx context.Context, c *clientCall, queues []member.Candidate) (destination, bool) {
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
@@ -45,13 +46,21 @@
 			}
 		case <-ctx.Done():
 			h.withdrawPending(queues, jobs, pending)
-			c.reason = "no slot before the deadline"
+			c.reason = reasonFor(ctx.Err())
 			return destination{}, false
 		}
 	}
 	return destination{}, false
 }
 
+// reasonFor returns why no slot was granted before the context ended.
+func reasonFor(err error) string {
+	if errors.Is(err, context.Canceled) {
+		return "the client disconnected"
+	}
+	return "no slot before the deadline"
+}
+
 // recordGrant records the load or the reason in the reply to one reservation and reports whether a slot was granted.
 func (h *Handler) recordGrant(c *clientCall, from member.Candidate, result reservationResult) bool {
 	if result.err != nil {
