--- a/daemon/entry/handler.go
+++ b/daemon/entry/handler.go
@@ -254,10 +254,10 @@
 	return c.request.Header.Get(outcome.HeaderAttempt) != outcome.InnerLayer
 }
 
-// isRepeatable reports whether the request may run twice: the operators did not declare its intent unrepeatable,
-// and HTTP defines its method as idempotent.
+// isRepeatable reports whether the request may run twice: the operators did not declare its intent unrepeatable or an
+// upload, and HTTP defines its method as idempotent.
 func isRepeatable(c *call) bool {
-	if c.route.Intent().Unrepeatable {
+	if !c.route.Intent().IsRepeatable() {
 		return false
 	}
 	switch c.request.Method {
--- a/daemon/entry/hedge.go
+++ b/daemon/entry/hedge.go
@@ -36,7 +36,7 @@
 // outside the mesh whose body is not streamed, and not after a backend server crashed during the request.
 func isHedgeable(c *call) bool {
 	isRead := c.request.Method == http.MethodGet || c.request.Method == http.MethodHead
-	return isRead && c.crashes == 0 && isFromOutsideMesh(c) && !c.route.Intent().Unrepeatable && !c.body.IsStreamed()
+	return isRead && c.crashes == 0 && isFromOutsideMesh(c) && c.route.Intent().IsRepeatable() && !c.body.IsStreamed()
 }
 
 // sendWithHedge sends the request to one owner, and to a second one if the response to a read is late and the retry
--- a/declaration/check.go
+++ b/declaration/check.go
@@ -133,6 +133,9 @@
 	if i.ProtectedShare < 0 || i.ProtectedShare > 1 {
 		reasons = append(reasons, fmt.Sprintf("protectedShare: must be from 0 to 1, is %v", i.ProtectedShare))
 	}
+	if i.Upload && i.Unrepeatable {
+		reasons = append(reasons, "upload: can't be unrepeatable as well, since the answers of unrepeatable requests are stored by key")
+	}
 	if !slices.Contains(Priorities(), i.Priority) {
 		reasons = append(reasons, fmt.Sprintf("priority: %q is not high, normal or low", i.Priority))
 	}
--- a/declaration/declaration_test.go
+++ b/declaration/declaration_test.go
@@ -35,6 +35,7 @@
 		{"an unknown method", service + "---\nkind: intent\nname: a\ntarget: desk\nmatch: {pathPrefix: /, methods: [FETCH]}\n", `unknown method "FETCH"`},
 		{"an unknown priority", service + "---\nkind: intent\nname: a\ntarget: desk\nmatch: {pathPrefix: /}\npriority: first\n", `"first" is not high`},
 		{"a timeout above the maximum", service + "---\nkind: intent\nname: a\ntarget: desk\nmatch: {pathPrefix: /}\ntimeout: 2h\n", "at most 1h0m0s, is 2h0m0s"},
+		{"an upload with stored answers", service + "---\nkind: intent\nname: a\ntarget: desk\nmatch: {pathPrefix: /}\nupload: true\nunrepeatable: true\n", "upload: can't be unrepeatable as well"},
 		{"a share above one", service + "---\nkind: intent\nname: a\ntarget: desk\nmatch: {pathPrefix: /}\nprotectedShare: 2\n", "must be from 0 to 1, is 2"},
 		{"two matches on one proxy", service + "---\nkind: intent\nname: a\ntarget: desk\nmatch: {pathPrefix: /x}\n---\nkind: intent\nname: b\ntarget: desk\nmatch: {pathPrefix: /x}\n", "match is the same as that of intent/a"},
 	} {
--- a/declaration/types.go
+++ b/declaration/types.go
@@ -121,7 +121,9 @@
 // must carry an idempotency key and runs at most once for each key within the
 // intent. Once the request may have run, a repetition with its key gets the stored
 // answer or an error, until the claim of the key expires after Lifetime of package
-// request/claim. ProtectedShare is the share of each backend server's slots, from
+// request/claim. The requests of an upload have large bodies, which are passed on
+// as they arrive: they need no key, and are not sent again once they may have run.
+// ProtectedShare is the share of each backend server's slots, from
 // 0 to 1, that only intents with such a share may take.
 type Intent struct {
 	Kind           Kind          `json:"kind" yaml:"kind"`
@@ -135,9 +137,13 @@
 	Priority       Priority      `json:"priority,omitempty" yaml:"priority"`
 	Timeout        time.Duration `json:"timeout,omitempty" yaml:"timeout"`
 	Unrepeatable   bool          `json:"unrepeatable,omitempty" yaml:"unrepeatable"`
+	Upload         bool          `json:"upload,omitempty" yaml:"upload"`
 	ProtectedShare float64       `json:"protectedShare,omitempty" yaml:"protectedShare"`
 }
 
+// IsRepeatable reports whether the requests of the intent may run again after they may have run.
+func (i *Intent) IsRepeatable() bool { return !i.Unrepeatable && !i.Upload }
+
 // Match selects requests by host, path prefix and method; an empty host or an empty list of methods matches all.
 type Match struct {
 	Host       string   `json:"host,omitempty" yaml:"host"`
