feat(sidecar): ask the owner for the reply when the connection to it breaks

Change: Resume, a call to the owner by the number of the job. An owner that has started after the call was sent says unknown. The entry asks once for a repeatable request, and until the deadline, or until nobody listens there, for any other one. Numbers of jobs now start from the incarnation of the entry, so that none of an earlier start is taken for another.

--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -41,6 +41,12 @@
 	return nil
 }
 
+// Resume returns the reply to a call whose connection broke.
+func (v *service) Resume(r *message.Resumption, reply *message.Reply) error {
+	*reply = v.sidecar.owner.Resume(*r)
+	return nil
+}
+
 // Withdraw cancels a reservation or a call.
 func (v *service) Withdraw(w *message.Withdrawal, _ *message.Empty) error {
 	v.sidecar.owner.Withdraw(*w)
--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -11,6 +11,7 @@
 	"siskinspar.example/sidecar/message"
 	"siskinspar.example/sidecar/owner"
 	"siskinspar.example/sidecar/peer"
+	"siskinspar.example/sidecar/route"
 )
 
 // directory lists the backend servers of the other daemons together with the one of this daemon.
@@ -64,18 +65,32 @@
 			return message.Reply{}, true, ctx.Err()
 		}
 	}
-	class := peer.TrafficControl
-	if c.Job.Kind.IsLarge() {
-		class = peer.TrafficBulk
-	}
 	reply := new(message.Reply)
-	err := o.pool.Connection(address, class).Call(ctx, peer.ServiceName+".Call", c, reply)
+	err := o.pool.Connection(address, trafficClass(c.Job.Kind)).Call(ctx, peer.ServiceName+".Call", c, reply)
 	if err != nil {
 		return message.Reply{}, !errors.Is(err, peer.ErrNotSent), err
 	}
 	return *reply, true, nil
 }
 
+// Resume implements entry.Owners.
+func (o *owners) Resume(ctx context.Context, address string, kind route.Kind, r message.Resumption) (message.Reply, bool, error) {
+	connection := o.pool.Connection(address, trafficClass(kind))
+	reply := new(message.Reply)
+	if err := connection.Call(ctx, peer.ServiceName+".Resume", &r, reply); err != nil {
+		return message.Reply{}, connection.IsRefused(), err
+	}
+	return *reply, false, nil
+}
+
+// trafficClass returns the class of the calls for requests of a kind.
+func trafficClass(k route.Kind) peer.TrafficClass {
+	if k.IsLarge() {
+		return peer.TrafficBulk
+	}
+	return peer.TrafficControl
+}
+
 // Reserve implements entry.Owners.
 func (o *owners) Reserve(ctx context.Context, address string, j message.Job) (message.Grant, error) {
 	if address == o.address {
--- a/sidecar/entry/dispatch.go
+++ b/sidecar/entry/dispatch.go
@@ -331,7 +331,7 @@
 	now := time.Now()
 	return message.Job{
 		TransferTime: h.transferTime(now, c, to),
-		Number:       h.lastNumber.Add(1), Entry: h.Address, Server: to.Server.ID, Route: c.route.Name(), Priority: c.route.Priority(),
+		Number:       h.FirstNumber + h.lastNumber.Add(1), Entry: h.Address, Server: to.Server.ID, Route: c.route.Name(), Priority: c.route.Priority(),
 		Kind: c.route.Kind(), IsNested: c.isNested, Target: c.target.Sub(now), Deadline: c.deadline.Sub(now), Share: share,
 	}
 }
--- a/sidecar/entry/handler.go
+++ b/sidecar/entry/handler.go
@@ -44,6 +44,9 @@
 	Call(ctx context.Context, address string, c *message.Call) (reply message.Reply, isSent bool, err error)
 	// Reserve waits until an owner grants a slot to the request or refuses it.
 	Reserve(ctx context.Context, address string, j message.Job) (message.Grant, error)
+	// Resume returns the reply to a call whose connection broke, or an error. IsGone says whether no daemon runs at the
+	// address any more, so that another try is useless.
+	Resume(ctx context.Context, address string, kind route.Kind, r message.Resumption) (reply message.Reply, isGone bool, err error)
 	// Withdraw cancels a reservation or a running call at an owner, without waiting for the result.
 	Withdraw(address string, w message.Withdrawal)
 }
@@ -107,7 +110,11 @@
 	// Random is used only under the lock.
 	Random *rand.Rand
 
-	// lastNumber is the number of the latest job sent to an owner.
+	// FirstNumber is below the numbers of all jobs; it differs from one start of the daemon to the next, so that the
+	// owners don't take a job for one of an earlier start. It is set before use.
+	FirstNumber uint64
+
+	// lastNumber is the number of the latest job sent to an owner, less FirstNumber.
 	lastNumber atomic.Uint64
 	mu         sync.Mutex
 	// budgets holds the retry budgets by service.
--- a/sidecar/entry/handler_test.go
+++ b/sidecar/entry/handler_test.go
@@ -40,11 +40,13 @@
 // fakeDaemons implements all interfaces that a Handler uses except Headers, with three owners. Each call takes the next
 // entry of the script; once the script is used up, calls succeed.
 type fakeDaemons struct {
-	mu            sync.Mutex
-	table         *route.Table
-	script        []scriptedCall
-	called        []string
-	withdrawn     int
+	mu        sync.Mutex
+	table     *route.Table
+	script    []scriptedCall
+	called    []string
+	withdrawn int
+	// resumed holds the replies to calls whose connection broke; without any, the owner is gone.
+	resumed       []message.Reply
 	isQuarantined bool
 	crashes       int
 	// isFull makes the owners report no free slot and refuse reservations.
@@ -100,6 +102,17 @@
 	}
 	return message.Grant{Ticket: j.Number}, nil
 }
+func (f *fakeDaemons) Resume(context.Context, string, route.Kind, message.Resumption) (message.Reply, bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.resumed) == 0 {
+		return message.Reply{}, true, errNoReply
+	}
+	reply := f.resumed[0]
+	f.resumed = f.resumed[1:]
+	return reply, false, nil
+}
+
 func (f *fakeDaemons) Withdraw(string, message.Withdrawal) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -256,3 +269,28 @@
 	assert.Assert(t, response.IsAborted)
 	assert.Equal(t, len(f.called), 0)
 }
+
+func TestTheReplyToACallWhoseConnectionBrokeIsAskedFor(t *testing.T) {
+	noReply := scriptedCall{isSent: true, err: errNoReply}
+	for _, c := range []struct {
+		name    string
+		kind    route.Kind
+		resumed message.Reply
+		status  int
+		calls   int
+	}{
+		{"it has run", route.Unrepeatable, ran(200).reply, 200, 1},
+		{"it has run, idempotent", route.Idempotent, ran(200).reply, 200, 1},
+		{"it never came", route.Unrepeatable, notRun(owner.ReasonNeverCame).reply, 200, 2},
+		{"an upload never came", route.Upload, notRun(owner.ReasonNeverCame).reply, 200, 2},
+		{"the owner has started anew", route.Unrepeatable, message.Reply{Reason: owner.ReasonOtherIncarnation}, 502, 1},
+		{"the owner has started anew, idempotent", route.Idempotent, message.Reply{Reason: owner.ReasonOtherIncarnation}, 200, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fakeDaemons{script: []scriptedCall{noReply, ran(200)}, resumed: []message.Reply{c.resumed}}
+			response := newHandler(t, f, c.kind).Serve(t.Context(), request("/x/1"))
+			assert.Equal(t, response.Status, c.status)
+			assert.Equal(t, len(f.called), c.calls)
+		})
+	}
+}
--- a/sidecar/entry/hedge.go
+++ b/sidecar/entry/hedge.go
@@ -45,6 +45,9 @@
 	h.Directory.RecordSent(to.Address)
 	started := time.Now()
 	reply, isSent, err := h.Owners.Call(limited, to.Address, m)
+	if err != nil && isSent {
+		reply, err = h.resume(limited, c, m, to, started, err)
+	}
 	now := time.Now()
 	s := callResult{to: to, reply: reply, isSent: isSent, took: now.Sub(started)}
 	if err != nil {
--- a/sidecar/member/table.go
+++ b/sidecar/member/table.go
@@ -30,6 +30,8 @@
 	DataCentre string
 	Server     Server
 	Load       Load
+	// Incarnation is that of the daemon beside the backend server.
+	Incarnation int64
 	// LoadAge is the time since the daemon of the backend server last reported.
 	LoadAge time.Duration
 	// IsUnreachable is true while the daemon beside the backend server does not answer.
@@ -196,7 +198,7 @@
 			continue
 		}
 		found = append(found, Candidate{
-			Address: address, DataCentre: r.DataCentre, Server: r.Server, Load: r.Load,
+			Address: address, DataCentre: r.DataCentre, Server: r.Server, Load: r.Load, Incarnation: r.Incarnation,
 			LoadAge: now.Sub(e.lastReport), IsUnreachable: isUnreachable, IsStopping: r.IsStopping,
 		})
 	}
--- a/sidecar/message/message.go
+++ b/sidecar/message/message.go
@@ -119,6 +119,16 @@
 	Number uint64
 }
 
+// Resumption asks for the reply to a call whose connection broke. Entry and Number are those of its job.
+type Resumption struct {
+	Entry  string
+	Number uint64
+	// Incarnation is that of the daemon to which the call was sent.
+	Incarnation int64
+	// Age is the time since the call was sent.
+	Age time.Duration
+}
+
 // Probe is both the argument and the reply of a probe, by which two daemons exchange their state.
 type Probe struct {
 	// Record is the state that the sender reports of itself.
--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -59,7 +59,7 @@
 // addCall registers a request that waits for a slot or has one; the caller holds the lock.
 func (o *Owner) addCall(q message.Job, t slot.Ticket) *trackedCall {
 	tc := &trackedCall{
-		key: callKey{q.Entry, q.Number}, ticket: t, waitResult: make(chan slot.Reason, 1), deadline: time.Now().Add(q.Deadline),
+		key: callKey{q.Entry, q.Number}, ticket: t, ended: make(chan struct{}), waitResult: make(chan slot.Reason, 1), deadline: time.Now().Add(q.Deadline),
 		grantLifetime: grantLifetime + min(q.TransferTime, maximumTransferTime),
 	}
 	o.calls[tc.key] = tc
@@ -99,6 +99,7 @@
 		reply.IsCrash = o.hasCrashed(c.Job.Server)
 		reply.Incarnation = c.Job.Server
 	}
+	o.keepReply(tc, reply)
 	if reply.Outcome != message.Ran {
 		o.Logger.Info("owner: call failed", "request", c.Request.ID, "entry", c.Job.Entry, "server", c.Job.Server, "outcome", reply.Outcome.String(), "reason", reply.Reason,
 			"crash", reply.IsCrash, "took", took, "running", reply.Load.Running, "waiting", reply.Load.Waiting, "slots", reply.Load.Slots)
@@ -106,11 +107,23 @@
 	return reply
 }
 
+// keepReply keeps the reply to a call for Resume.
+func (o *Owner) keepReply(tc *trackedCall, reply message.Reply) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.calls, tc.key)
+	o.results.add(time.Now(), tc.key, reply)
+	close(tc.ended)
+}
+
 // acquireSlot claims the granted slot of a call with a ticket, and takes a free slot for one without. It returns the
 // reason if the call may not run.
 func (o *Owner) acquireSlot(now time.Time, c message.Call, cancel context.CancelFunc) (*trackedCall, *upstream.Client, string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.results.isBarred(callKey{c.Job.Entry, c.Job.Number}) {
+		return nil, nil, ReasonNeverCame
+	}
 	if c.Ticket != 0 {
 		return o.claimSlot(now, c, cancel)
 	}
@@ -163,7 +176,8 @@
 	now := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.removeCall(tc)
+	// The call stays in calls until its reply is kept.
+	delete(o.tickets, tc.ticket)
 	if reply.Outcome == message.Ran && !isServerError(reply.Answer) {
 		if c.Job.Kind == route.Download && o.Link != nil {
 			o.slots.RecordAnswerSize(c.Job.Route, len(reply.Answer.Body))
--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -64,6 +64,8 @@
 	Address string
 	// MaximumConnections returns the number of connections that a backend server of a service accepts.
 	MaximumConnections func(service string) int
+	// Incarnation is the start of this daemon in milliseconds since 1970, as in its record.
+	Incarnation int64
 	// ExtraRequests is the number of requests beyond its slots that are sent to the backend server, where they wait.
 	ExtraRequests int
 	// Link is the outgoing link of the instance.
@@ -85,6 +87,7 @@
 	// calls and tickets hold the same calls, by their request and by their ticket.
 	calls   map[callKey]*trackedCall
 	tickets map[slot.Ticket]*trackedCall
+	results results
 	// unreachableUntil is when requests are sent again to a backend server that refused a connection.
 	unreachableUntil time.Time
 	failures         failures
@@ -119,6 +122,8 @@
 	grantLifetime time.Duration
 	// deadline is that of the request.
 	deadline time.Time
+	// ended is closed once the reply to the call is kept in results.
+	ended chan struct{}
 }
 
 // Run prepares the owner and starts the goroutine that advances the queue periodically.
@@ -346,6 +351,12 @@
 		tc.cancel()
 		return
 	}
+	o.withdrawReservation(tc)
+}
+
+// withdrawReservation removes a request that waits for a slot, or releases the slot that was granted to it. The caller
+// holds the lock.
+func (o *Owner) withdrawReservation(tc *trackedCall) {
 	o.removeCall(tc)
 	if o.slots.Cancel(tc.ticket) {
 		tc.waitResult <- slot.Reason(ReasonWithdrawn)
--- a/sidecar/peer/connection.go
+++ b/sidecar/peer/connection.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/rpc"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,6 +44,8 @@
 	dialing chan struct{}
 	// failedAt is when the last dial failed.
 	failedAt time.Time
+	// isRefused is true if the last dial failed because nobody listens at the address.
+	isRefused bool
 	// pending is the number of calls that wait for a reply.
 	pending int
 }
@@ -89,6 +93,13 @@
 	c.pending += change
 }
 
+// IsRefused reports whether the last attempt to connect was refused, so that no daemon runs at the address.
+func (c *Connection) IsRefused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isRefused
+}
+
 // IsBusy reports whether the connection is open and calls wait for a reply.
 func (c *Connection) IsBusy() bool {
 	c.mu.Lock()
@@ -153,6 +164,7 @@
 	conn, err := dialer.Dial("tcp", c.Address)
 	c.mu.Lock()
 	c.dialing = nil
+	c.isRefused = errors.Is(err, syscall.ECONNREFUSED)
 	if err != nil {
 		c.failedAt = time.Now()
 	} else {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -133,7 +133,7 @@
 
 func (s *Sidecar) startOwner() {
 	s.owner = &owner.Owner{
-		Logger: s.Logger, Headers: s.Platform.Headers, Address: s.Settings.Daemons, ExtraRequests: extraRequests, OnChange: s.sendRecord, Link: s.pacer,
+		Logger: s.Logger, Headers: s.Platform.Headers, Address: s.Settings.Daemons, Incarnation: s.incarnation, ExtraRequests: extraRequests, OnChange: s.sendRecord, Link: s.pacer,
 		MaximumConnections: func(service string) int {
 			if t := s.configuration.Table(); t != nil {
 				return t.MaximumConnections(service)
@@ -187,13 +187,16 @@
 	s.Logger.Info("daemon: settings reloaded", "new-daemons", changed)
 }
 
+// numberBits is the number of bits that the jobs of one start of the daemon may take; the start takes those above.
+const numberBits = 20
+
 // newEntry prepares the part that serves clients.
 func (s *Sidecar) newEntry() {
 	directory := &directory{table: s.members, owner: s.owner, address: s.Settings.Daemons, dataCentre: s.Settings.DataCentre}
 	owners := &owners{address: s.Settings.Daemons, local: s.owner, pool: s.pool}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	s.entry = &entry.Handler{
-		Address: s.Settings.Daemons, Service: s.Settings.Service, Configuration: s.configuration, Directory: directory,
+		Address: s.Settings.Daemons, Service: s.Settings.Service, FirstNumber: uint64(s.incarnation) << numberBits, Configuration: s.configuration, Directory: directory,
 		Owners: owners, Quarantine: s.quarantine, Running: s.owner, Headers: s.Platform.Headers, Meter: meter{s.registry}, Logger: s.Logger, Random: random, RetryAllowance: s.Settings.RetryAllowance, Link: s.pacer,
 		Placer: &placement.Placer{Address: s.Settings.Daemons, DataCentre: s.Settings.DataCentre, Random: random},
 	}
