feat(sidecar): start again with one call of the store

Cause: each start wrote the daemon's row and read all rows, two calls, also where the row had been there since the first start.

Change: unless the whole mesh starts for the first time, the rows are read first; a daemon that finds its own row needs no write, and one that finds others does not read again.

--- a/sidecar/register.go
+++ b/sidecar/register.go
@@ -28,27 +28,41 @@
 	return r.DataCentre
 }
 
-// addRows adds the daemons of the rows to the table of members and probes at once if one is new.
-func (s *Sidecar) addRows(rows []discovery.Row) {
+// addRows adds the daemons of the rows to the table of members and probes at once if one is new. It reports whether the
+// row of this daemon is among them, and how many of others are.
+func (s *Sidecar) addRows(rows []discovery.Row) (hasOwn bool, others int) {
 	for _, r := range rows {
 		if _, err := netip.ParseAddrPort(r.Key); err != nil {
 			s.Logger.Warn("daemon: key of a store row is not an address", "key", r.Key, "error", err)
 			continue
 		}
-		if r.Key == s.Settings.Daemons || r.IsRemoved {
+		dataCentre := registeredDataCentre(r.Value)
+		if r.Key == s.Settings.Daemons {
+			hasOwn = dataCentre == s.Settings.DataCentre
 			continue
 		}
-		if s.members.Add(r.Key, registeredDataCentre(r.Value)) {
+		others++
+		if s.members.Add(r.Key, dataCentre) {
 			s.Logger.Info("daemon: found another daemon", "address", r.Key)
 			s.prober.ProbeAll()
 		}
 	}
+	return hasOwn, others
 }
 
-// register writes the daemon's own row to the store and then reads the rows of all daemons.
+// register finds the other daemons in the store and makes this one known to those that start later. Rows are never
+// removed, so a daemon that starts again at its address finds its row there.
 //
-// In this order two daemons that start together can't miss each other: whichever reads last finds both rows.
+// A daemon that finds no others reads the rows again after it has written its own: of two that start together, whichever
+// reads last then finds both rows. Others find the daemon by its probes.
 func (s *Sidecar) register(ctx context.Context) {
+	hasOwn, others := false, 0
+	if !s.Settings.IsFirstStart {
+		hasOwn, others = s.listRows(ctx)
+	}
+	if hasOwn {
+		return
+	}
 	value, err := json.Marshal(registration{DataCentre: s.Settings.DataCentre})
 	if err != nil {
 		s.Logger.Error("daemon: registration could not be encoded", "error", err)
@@ -57,13 +71,21 @@
 	s.retryStoreCall(ctx, "write the own row", func(ctx context.Context) error {
 		return s.Platform.Store.Put(ctx, membersTable, s.Settings.Daemons, value)
 	})
+	if others == 0 {
+		s.listRows(ctx)
+	}
+}
+
+// listRows reads the rows of all daemons and adds them; see addRows for the results.
+func (s *Sidecar) listRows(ctx context.Context) (hasOwn bool, others int) {
 	s.retryStoreCall(ctx, "read the rows of the daemons", func(ctx context.Context) error {
 		page, err := s.Platform.Store.List(ctx, membersTable)
 		if err == nil {
-			s.addRows(page.Rows)
+			hasOwn, others = s.addRows(page.Rows)
 		}
 		return err
 	})
+	return hasOwn, others
 }
 
 // retryStoreCall repeats a call of the store until it succeeds or the context ends. Purpose is named in the log.
--- a/sidecar/settings/settings.go
+++ b/sidecar/settings/settings.go
@@ -30,6 +30,8 @@
 	Metrics string
 	// Store is the address of the platform's store.
 	Store string
+	// IsFirstStart is true when the whole mesh starts for the first time, so that the store has no rows of daemons yet.
+	IsFirstStart bool
 	// Seeds are IP addresses of instances whose daemons may know further daemons.
 	Seeds []netip.Addr
 	// MemoryBytes is the memory that the process may use, or 0 for no limit.
