--- a/standin/application/server.go
+++ b/standin/application/server.go
@@ -51,6 +51,8 @@
 	Slots int
 	// ProcessingTime is the time that a request runs; the deadline of the request may end it earlier.
 	ProcessingTime time.Duration
+	// IgnoresDeadline makes the server run a request for its whole processing time, whatever its deadline.
+	IgnoresDeadline bool
 	// Heartbeat is the time between two heartbeats.
 	Heartbeat time.Duration
 	// Observer gets each request that the server begins to run.
@@ -141,7 +143,7 @@
 // request has none. It returns false if the client closed the connection meanwhile.
 func (s *Server) simulateProcessing(r *http.Request) bool {
 	remaining, err := strconv.Atoi(r.Header.Get("Deadline-Ms"))
-	if err != nil || remaining <= 0 {
+	if err != nil || remaining <= 0 || s.IgnoresDeadline {
 		remaining = int(time.Minute.Milliseconds())
 	}
 	select {
