--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -256,62 +256,6 @@
 	o.server = s
 }
 
-// RecordDrain applies the report of another daemon that an incarnation of the backend server has announced its drain to
-// this daemon. This daemon does not know of the drain any more if it restarted since, and an earlier announcement may
-// still arrive. The report is stored as unmatchedDrain unless the stored one has a later Born.
-func (o *Owner) RecordDrain(s member.Server) {
-	o.mu.Lock()
-	if s.Born >= o.unmatchedDrain.Born {
-		o.unmatchedDrain = s
-	}
-	isDraining := o.hasUnmatchedDrain(o.server)
-	o.mu.Unlock()
-	if isDraining {
-		o.Drain(s.ID)
-	}
-}
-
-// hasUnmatchedDrain reports whether an incarnation counts as draining because of unmatchedDrain; the caller holds the
-// lock.
-func (o *Owner) hasUnmatchedDrain(s member.Server) bool {
-	return s.ID != "" && s.ID == o.unmatchedDrain.ID && s.Born <= o.unmatchedDrain.Born
-}
-
-// Drain starts the drain of the backend server with an ID, which has announced it, and reports whether its state
-// changed.
-//
-// A daemon that has restarted may not know the ID yet. It then stores the drain as unmatchedDrain, so that a late
-// announcement of an incarnation that started before counts as draining. The two times are comparable, because the
-// start of an incarnation and the time of this call come from the clock of the same instance.
-func (o *Owner) Drain(id string) bool {
-	o.mu.Lock()
-	if o.server.ID != id {
-		o.unmatchedDrain = member.Server{ID: id, Born: time.Now().UnixMilli()}
-		o.mu.Unlock()
-		o.Logger.Info("owner: drain of an unknown backend server", "server", id)
-		return false
-	}
-	if o.server.State == member.Draining {
-		o.mu.Unlock()
-		return false
-	}
-	o.server.State = member.Draining
-	o.notify(o.slots.Drain())
-	o.mu.Unlock()
-	o.Logger.Info("owner: backend server drains", "server", id)
-	o.OnChange()
-	return true
-}
-
-// Refuse makes the owner refuse all reservations and calls from now on, since this daemon is about to end. Requests that
-// wait are refused as well; those that have a slot run.
-func (o *Owner) Refuse() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.isRefusing = true
-	o.notify(o.slots.Drain())
-}
-
 // notify passes the status changes of jobs to the waiting requests. A slot that was granted to a request which
 // no longer waits is released at once. The caller holds the lock.
 func (o *Owner) notify(changes []slot.StatusChange) {
