perf(peer): encode messages between daemons with MessagePack in place of gob

Change: a length, then header and body in MessagePack (vmihailenco/msgpack), fields with a zero value left out, unknown ones skipped; still net/rpc. The memory of a message is acquired as its bytes arrive, which the parser of gob's lengths did before.

Daemons before and after this commit don't understand each other.

--- a/sidecar/message/size_test.go
+++ b/sidecar/message/size_test.go
@@ -2,34 +2,33 @@
 
 import (
 	"bytes"
-	"encoding/gob"
 	"net/http"
 	"net/rpc"
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
 	"siskinspar.example/sidecar/member"
 	"siskinspar.example/sidecar/message"
 )
 
-// encodedSize returns the size of messages on a connection that has carried the same ones before.
+// encodedSize returns the size of messages as package peer encodes them.
 func encodedSize(t testing.TB, messages ...any) int {
 	t.Helper()
 	var b bytes.Buffer
-	e := gob.NewEncoder(&b)
-	for range 2 {
-		b.Reset()
-		for _, m := range messages {
-			assert.NilError(t, e.Encode(m))
-		}
+	e := msgpack.NewEncoder(&b)
+	e.SetOmitEmpty(true)
+	e.UseCompactInts(true)
+	for _, m := range messages {
+		assert.NilError(t, e.Encode(m))
 	}
 	return b.Len()
 }
 
 // BenchmarkBytesBetweenDaemons reports the bytes that a request with an answer of 1,000 bytes, a reservation and a probe
-// each move between two daemons, both ways, without the types that gob sends once on a connection.
+// each move between two daemons, both ways.
 func BenchmarkBytesBetweenDaemons(b *testing.B) {
 	header := http.Header{"Request-Id": {"9c41d07be2a35f68"}, "Deadline-Ms": {"1000"}, "Accept": {"*/*"}}
 	load := member.Load{Running: 5, Waiting: 3, Slots: 9, Backlog: 20 * time.Millisecond}
--- a/sidecar/peer/connection.go
+++ b/sidecar/peer/connection.go
@@ -168,7 +168,7 @@
 	if err != nil {
 		c.failedAt = time.Now()
 	} else {
-		c.client = rpc.NewClientWithCodec(clientCodec{newGobStream(newPacedConn(conn, c.Pacer), c.Memory)})
+		c.client = rpc.NewClientWithCodec(clientCodec{newStream(newPacedConn(conn, c.Pacer), c.Memory)})
 	}
 	c.mu.Unlock()
 	close(done)
--- a/sidecar/peer/connection_test.go
+++ b/sidecar/peer/connection_test.go
@@ -55,8 +55,8 @@
 	assert.ErrorIs(t, c.Call(t.Context(), peer.ServiceName+".Echo", "", new(string)), peer.ErrNotSent)
 }
 
-// endlessMessage begins a gob message of 1 GB minus one byte, the largest that the decoder accepts.
-var endlessMessage = []byte{0xfc, 0x3f, 0xff, 0xff, 0xff}
+// endlessMessage begins a message of the largest length that another daemon accepts, 68 MiB.
+var endlessMessage = []byte{0x04, 0x40, 0x00, 0x00}
 
 // Daemons in trouble that send without end must not exhaust the memory of the smallest instance, either as callers or in
 // their replies.
--- a/sidecar/peer/server.go
+++ b/sidecar/peer/server.go
@@ -54,7 +54,7 @@
 	go func() {
 		defer s.group.Done()
 		defer s.track(c, false)
-		s.server.ServeCodec(serverCodec{newGobStream(newPacedConn(c, s.Pacer), s.Memory)})
+		s.server.ServeCodec(serverCodec{newStream(newPacedConn(c, s.Pacer), s.Memory)})
 	}()
 }
 
--- a/sidecar/peer/server_test.go
+++ b/sidecar/peer/server_test.go
@@ -24,7 +24,7 @@
 }
 
 // startServer runs a server of the service with a memory budget, and returns it with its address.
-func startServer(t *testing.T, service any, m *memory.Budget) (*peer.Server, string) {
+func startServer(t testing.TB, service any, m *memory.Budget) (*peer.Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/sidecar/slot/controller.go
+++ b/sidecar/slot/controller.go
@@ -14,6 +14,8 @@
 	maximumLateWait = 250 * time.Millisecond
 	// maximumLateExpectedWait is the longest expected wait with which a job that is late on arrival is queued.
 	maximumLateExpectedWait = 120 * time.Millisecond
+	// maximumLateShare bounds both waits for jobs with little time, as a share of the time from arrival to deadline.
+	maximumLateShare = 0.25
 )
 
 // runningJob is a job that has a slot.
@@ -131,7 +133,7 @@
 		return false
 	}
 	if isLate(now, c.serviceTimes, j) {
-		return wait > maximumLateExpectedWait
+		return wait > min(maximumLateExpectedWait, lateShare(now, j))
 	}
 	return isLate(now.Add(wait), c.serviceTimes, j)
 }
@@ -250,7 +252,12 @@
 	if now.Add(c.serviceTimes.mean(q.job.Class)).After(q.job.Deadline) {
 		return true
 	}
-	return !q.job.IsNested && isLate(now, c.serviceTimes, q.job) && now.Sub(q.arrived) > maximumLateWait
+	return !q.job.IsNested && isLate(now, c.serviceTimes, q.job) && now.Sub(q.arrived) > min(maximumLateWait, lateShare(q.arrived, q.job))
+}
+
+// lateShare returns the longest wait of a late job by its deadline.
+func lateShare(arrived time.Time, j Job) time.Duration {
+	return time.Duration(maximumLateShare * float64(j.Deadline.Sub(arrived)))
 }
 
 // nextQueued returns the index in the queue of the job that gets the next free slot, or -1 if the queue is empty or the
