feat(entry): wait in the own data centre before others are asked

A full slot in the own data centre sent a request to any other for a few milliseconds, and a request that had to wait asked eight owners in all data centres at once.

Change: a kilobyte now counts 10 ms against another data centre in place of 2, up to the same 160 ms in all, and the time of an answer is that of the route in place of 100 ms for all. A request that waits asks the owners of its own data centre; others once these refuse, or after an eighth of the time to its target (10 to 100 ms), so that an owner that hangs holds nothing. Owners that don't answer are left out before the data centres are divided.

TestARequestWaitsInItsOwnDataCentreFirst plays a free, a full and a hanging owner there.

--- a/sidecar/entry/dispatch.go
+++ b/sidecar/entry/dispatch.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// maximumQueues is the number of owners at which one request waits at once.
+	// maximumQueues is the number of owners of the own data centre, and of others, at which one request waits at once.
 	maximumQueues = 8
-	// sampledQueues is that number where a service has more than samplingThreshold backend servers: a sample is nearly as
+	// sampledQueues is that number where there are more than samplingThreshold backend servers: a sample is nearly as
 	// good there, and each owner costs messages.
 	sampledQueues     = 4
 	samplingThreshold = 16
--- a/sidecar/entry/handler_test.go
+++ b/sidecar/entry/handler_test.go
@@ -37,6 +37,12 @@
 	delay time.Duration
 }
 
+// scriptedReservation is the reply of one owner to all reservations.
+type scriptedReservation struct {
+	delay     time.Duration
+	isGranted bool
+}
+
 // fakeDaemons implements all interfaces that a Handler uses except Headers, with three owners. Each call takes the next
 // entry of the script; once the script is used up, calls succeed.
 type fakeDaemons struct {
@@ -49,6 +55,11 @@
 	resumed       []message.Reply
 	isQuarantined bool
 	crashes       int
+	// centres holds the data centres of the owners; that of the handler is empty.
+	centres map[string]string
+	// reservations are the replies of the owners, which then report no free slot; reserved lists the owners asked.
+	reservations map[string]scriptedReservation
+	reserved     []string
 	// isFull makes the owners report no free slot and refuse reservations.
 	isFull bool
 }
@@ -62,10 +73,10 @@
 	var found []member.Candidate
 	for _, id := range []string{"a", "b", "c"} {
 		l := member.Load{Slots: 1}
-		if f.isFull {
+		if f.isFull || f.reservations != nil {
 			l.Running = 1
 		}
-		found = append(found, member.Candidate{Address: id, Server: member.Server{ID: id, State: member.Ready}, Load: l})
+		found = append(found, member.Candidate{Address: id, DataCentre: f.centres[id], Server: member.Server{ID: id, State: member.Ready}, Load: l})
 	}
 	return found
 }
@@ -96,7 +107,21 @@
 	f.script = f.script[1:]
 	return s
 }
-func (f *fakeDaemons) Reserve(_ context.Context, _ string, j message.Job) (message.Grant, error) {
+func (f *fakeDaemons) Reserve(ctx context.Context, address string, j message.Job) (message.Grant, error) {
+	if f.reservations != nil {
+		f.mu.Lock()
+		f.reserved = append(f.reserved, address)
+		f.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return message.Grant{}, ctx.Err()
+		case <-time.After(f.reservations[address].delay):
+		}
+		if f.reservations[address].isGranted {
+			return message.Grant{Ticket: j.Number}, nil
+		}
+		return message.Grant{Reason: string(slot.ReasonWaitTooLong)}, nil
+	}
 	if f.isFull {
 		return message.Grant{Reason: string(slot.ReasonWaitTooLong)}, nil
 	}
--- a/sidecar/entry/hedge.go
+++ b/sidecar/entry/hedge.go
@@ -123,7 +123,7 @@
 	daemons := h.Directory.Daemons()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	free, ok := h.Placer.PickFree(now, candidates, append(slices.Clone(c.tried), first.candidate.Server.ID), placement.Transfer{Kind: c.route.Kind(), Size: h.meanSizes[c.route.Name()]})
+	free, ok := h.Placer.PickFree(now, candidates, append(slices.Clone(c.tried), first.candidate.Server.ID), placement.Transfer{Kind: c.route.Kind(), Size: h.meanSizes[c.route.Name()], AnswerTime: h.meanTimes[c.route.Name()]})
 	if !ok || !h.budget(c.service).SpendOnHedge(now, daemons) {
 		return destination{}, false
 	}
--- a/sidecar/entry/reserve.go
+++ b/sidecar/entry/reserve.go
@@ -9,48 +9,97 @@
 	"siskinspar.example/sidecar/message"
 )
 
+const (
+	// wideningShare is the share of the time to the target after which a request that waits in its own data centre also
+	// waits in others.
+	wideningShare = 0.125
+	// minimumWideningDelay and maximumWideningDelay bound that time.
+	minimumWideningDelay = 10 * time.Millisecond
+	maximumWideningDelay = 100 * time.Millisecond
+)
+
 // reservationResult is the reply of one owner to a reservation, or the error of the attempt; index is its place in the
-// list of owners.
+// list of queues.
 type reservationResult struct {
 	index int
 	grant message.Grant
 	err   error
 }
 
-// reserve asks several owners for a slot at once, uses the first one that is granted and withdraws the other
-// reservations. It reports false when all owners refuse, the deadline passes or the client disconnects, and sets the
-// reason of the request.
-func (h *Handler) reserve(ctx context.Context, c *clientCall, queues []member.Candidate) (destination, bool) {
+// reservation is a request that waits for a slot at several owners.
+type reservation struct {
+	handler *Handler
+	call    *clientCall
+	// queues are the owners that were asked, and jobs what they were asked for.
+	queues  []member.Candidate
+	jobs    []message.Job
+	results chan reservationResult
+	// pending holds the places in queues of the owners without a reply.
+	pending map[int]bool
+}
+
+// reserve asks several owners for a slot, uses the first one that is granted and withdraws the other reservations. Those
+// in near are asked at once, those in far once all in near have refused, or have not replied for the widening delay: an
+// owner that hangs must not hold the request. It reports false when all owners refuse, the deadline passes or the client
+// disconnects, and sets the reason of the request.
+func (h *Handler) reserve(ctx context.Context, c *clientCall, near, far []member.Candidate) (destination, bool) {
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
-	jobs := make([]message.Job, len(queues))
-	results := make(chan reservationResult, len(queues))
-	for i, candidate := range queues {
-		jobs[i] = h.newJob(c, candidate, 1/float64(len(queues)))
-		go func() {
-			grant, err := h.Owners.Reserve(ctx, candidate.Address, jobs[i])
-			results <- reservationResult{index: i, grant: grant, err: err}
-		}()
-	}
-	pending := map[int]bool{}
-	for i := range queues {
-		pending[i] = true
-	}
-	for len(pending) > 0 {
+	r := &reservation{handler: h, call: c, results: make(chan reservationResult, len(near)+len(far)), pending: map[int]bool{}}
+	defer r.withdrawPending()
+	r.start(ctx, near)
+	widen := time.NewTimer(wideningDelay(c))
+	defer widen.Stop()
+	for {
+		if len(r.pending) == 0 {
+			if len(far) == 0 {
+				return destination{}, false
+			}
+			r.start(ctx, far)
+			far = nil
+		}
 		select {
-		case result := <-results:
-			delete(pending, result.index)
-			if h.recordGrant(c, queues[result.index], result) {
-				h.withdrawPending(queues, jobs, pending)
-				return destination{candidate: queues[result.index], job: jobs[result.index], ticket: result.grant.Ticket}, true
+		case result := <-r.results:
+			delete(r.pending, result.index)
+			if h.recordGrant(c, r.queues[result.index], result) {
+				return destination{candidate: r.queues[result.index], job: r.jobs[result.index], ticket: result.grant.Ticket}, true
 			}
+		case <-widen.C:
+			r.start(ctx, far)
+			far = nil
 		case <-ctx.Done():
-			h.withdrawPending(queues, jobs, pending)
 			c.reason = reasonFor(ctx.Err())
 			return destination{}, false
 		}
 	}
-	return destination{}, false
+}
+
+// wideningDelay returns how long a request waits in its own data centre alone.
+func wideningDelay(c *clientCall) time.Duration {
+	delay := time.Duration(wideningShare * float64(time.Until(c.target)))
+	return min(maximumWideningDelay, max(minimumWideningDelay, delay))
+}
+
+// start asks further owners for a slot.
+func (r *reservation) start(ctx context.Context, queues []member.Candidate) {
+	for _, candidate := range queues {
+		index := len(r.queues)
+		job := r.handler.newJob(r.call, candidate, 1/float64(len(queues)))
+		r.queues = append(r.queues, candidate)
+		r.jobs = append(r.jobs, job)
+		r.pending[index] = true
+		go func() {
+			grant, err := r.handler.Owners.Reserve(ctx, candidate.Address, job)
+			r.results <- reservationResult{index: index, grant: grant, err: err}
+		}()
+	}
+}
+
+// withdrawPending withdraws the reservations without a reply.
+func (r *reservation) withdrawPending() {
+	for i := range r.pending {
+		r.handler.Owners.Withdraw(r.queues[i].Address, message.Withdrawal{Entry: r.handler.Address, Number: r.jobs[i].Number})
+	}
 }
 
 // reasonFor returns why no slot was granted before the context ended.
@@ -74,10 +123,3 @@
 	c.reason = result.grant.Reason
 	return false
 }
-
-// withdrawPending withdraws the reservations without a reply; pending holds their places in the list of owners.
-func (h *Handler) withdrawPending(queues []member.Candidate, jobs []message.Job, pending map[int]bool) {
-	for i := range pending {
-		h.Owners.Withdraw(queues[i].Address, message.Withdrawal{Entry: h.Address, Number: jobs[i].Number})
-	}
-}
--- /dev/null
+++ b/sidecar/entry/reserve_test.go
@@ -0,0 +1,58 @@
+package entry_test
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinspar.example/sidecar/route"
+)
+
+// The bytes between data centres are costly, and so are the reservations that lead to them; but neither a full data
+// centre nor an owner that hangs may hold a request that another data centre could serve in time.
+func TestARequestWaitsInItsOwnDataCentreFirst(t *testing.T) {
+	const never = time.Hour
+	for _, c := range []struct {
+		name         string
+		reservations map[string]scriptedReservation
+		called       string
+		asked        []string
+		within       time.Duration
+	}{
+		{"granted there", map[string]scriptedReservation{"a": {5 * time.Millisecond, true}, "b": {0, true}, "c": {0, true}}, "a", []string{"a"}, 10 * time.Millisecond},
+		{"refused there", map[string]scriptedReservation{"a": {0, false}, "b": {0, true}, "c": {never, true}}, "b", []string{"a", "b", "c"}, 10 * time.Millisecond},
+		{"granted there while others are asked", map[string]scriptedReservation{"a": {110 * time.Millisecond, true}, "b": {never, true}, "c": {never, true}}, "a", []string{"a", "b", "c"}, 120 * time.Millisecond},
+		{"the owner there hangs", map[string]scriptedReservation{"a": {never, true}, "b": {0, true}, "c": {never, true}}, "b", []string{"a", "b", "c"}, 120 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeDaemons{centres: map[string]string{"b": "other", "c": "other"}, reservations: c.reservations}
+				h := newHandler(t, f, route.Idempotent)
+				began := time.Now()
+				response := h.Serve(t.Context(), arriving("/x/1"))
+				assert.Equal(t, response.Status, http.StatusOK)
+				assert.DeepEqual(t, f.called, []string{c.called})
+				assert.Assert(t, time.Since(began) < c.within, "took %v", time.Since(began))
+				synctest.Wait()
+				slices.Sort(f.reserved)
+				assert.DeepEqual(t, f.reserved, c.asked)
+				assert.Equal(t, f.withdrawn, len(c.asked)-1-refused(c.reservations), "the other reservations are withdrawn")
+			})
+		})
+	}
+}
+
+// refused returns the number of owners that refuse at once.
+func refused(reservations map[string]scriptedReservation) int {
+	count := 0
+	for _, r := range reservations {
+		if !r.isGranted {
+			count++
+		}
+	}
+	return count
+}
--- a/sidecar/entry/select.go
+++ b/sidecar/entry/select.go
@@ -13,39 +13,58 @@
 // selectDestination returns a backend server that appears to have a free slot, or the first one whose owner grants a
 // slot.
 //
-// A request with a large body or answer first tries, and waits for, the backend servers of the daemon's own data centre,
-// because transfers between data centres are costly.
+// The bytes between data centres are costly, so a request first waits for the backend servers of its own data centre, and
+// only where these would serve it too late for the others. One with a large body or answer does so even if a slot is free
+// elsewhere.
 func (h *Handler) selectDestination(ctx context.Context, c *clientCall, now time.Time, mayCallDirectly bool) (destination, bool) {
 	candidates := h.Directory.Candidates(now, c.service)
+	groups := [][]member.Candidate{candidates}
 	if c.route.Kind().IsLarge() {
-		if d, ok := h.selectAmong(ctx, c, h.Placer.InOwnDataCentre(candidates), now, mayCallDirectly); ok {
+		own, others := h.Placer.ByDataCentre(candidates)
+		groups = [][]member.Candidate{own, others}
+	}
+	for _, group := range groups {
+		if d, ok := h.pickFree(c, group, now); ok && mayCallDirectly {
+			return d, true
+		}
+		if d, ok := h.reserveByDistance(ctx, c, group, now); ok {
 			return d, true
 		}
 	}
-	return h.selectAmong(ctx, c, candidates, now, mayCallDirectly)
+	return destination{}, false
 }
 
-// selectAmong selects a destination among the candidates. A backend server that appears to have a free slot is called
-// without a reservation if mayCallDirectly; otherwise the request queues at several owners.
+// pickFree returns a backend server that appears to have a free slot and may be called without a reservation.
 //
 // A large body is sent to another instance only for a granted slot: a refusal would cost a second transfer.
-func (h *Handler) selectAmong(ctx context.Context, c *clientCall, candidates []member.Candidate, now time.Time, mayCallDirectly bool) (destination, bool) {
-	count := maximumQueues
-	if len(candidates) > samplingThreshold {
-		count = sampledQueues
-	}
+func (h *Handler) pickFree(c *clientCall, candidates []member.Candidate, now time.Time) (destination, bool) {
 	transfer := h.transfer(now, c)
 	h.mu.Lock()
 	free, ok := h.Placer.PickFree(now, candidates, c.tried, transfer)
-	queues := h.Placer.PickQueues(now, candidates, c.tried, count, transfer)
 	h.mu.Unlock()
-	if ok && mayCallDirectly && (c.route.Kind() != route.Upload || free.Address == h.Address) {
-		return destination{candidate: free, job: h.newJob(c, free, 1)}, true
-	}
-	if len(queues) == 0 {
+	if !ok || c.route.Kind() == route.Upload && free.Address != h.Address {
 		return destination{}, false
 	}
-	return h.reserve(ctx, c, queues)
+	return destination{candidate: free, job: h.newJob(c, free, 1)}, true
+}
+
+// reserveByDistance queues the request at several owners of its data centre, and later or if these refuse it, of others.
+func (h *Handler) reserveByDistance(ctx context.Context, c *clientCall, candidates []member.Candidate, now time.Time) (destination, bool) {
+	transfer := h.transfer(now, c)
+	h.mu.Lock()
+	own, others := h.Placer.ByDataCentre(h.Placer.Usable(now, candidates, c.tried))
+	near := h.Placer.PickQueues(now, own, c.tried, queueCount(own), transfer)
+	far := h.Placer.PickQueues(now, others, c.tried, queueCount(others), transfer)
+	h.mu.Unlock()
+	return h.reserve(ctx, c, near, far)
+}
+
+// queueCount returns the number of owners at which one request waits at once.
+func queueCount(candidates []member.Candidate) int {
+	if len(candidates) > samplingThreshold {
+		return sampledQueues
+	}
+	return maximumQueues
 }
 
 // transfer returns what the request moves between this daemon and an owner.
@@ -57,6 +76,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	t.Size = h.meanSizes[c.route.Name()]
+	t.AnswerTime = h.meanTimes[c.route.Name()]
 	return t
 }
 
--- a/sidecar/placement/placer.go
+++ b/sidecar/placement/placer.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// referenceServiceTime is the service time assumed for a backend server with a relative time of 1. Estimates only
-	// compare backend servers, so it matters only in proportion to the delays below. It is not the fallback of package
-	// slot for classes without samples.
+	// referenceServiceTime is the answer time assumed for a route before one of its requests was answered. Estimates only
+	// compare backend servers, so it matters only in proportion to the delays of Transfer. It is not the fallback of
+	// package slot for classes without samples.
 	referenceServiceTime = 100 * time.Millisecond
 	// smoothing is the weight of a new sample in the moving average of the relative time.
 	smoothing = 0.15
@@ -123,7 +123,7 @@
 	var best member.Candidate
 	var bestTime time.Duration
 	found := false
-	usable := p.usable(now, candidates, tried)
+	usable := p.Usable(now, candidates, tried)
 	p.Random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
 	for _, c := range usable {
 		if !c.Load.IsFree() || t.isDownload() && c.Address != p.Address && c.Load.Backlog > maximumBacklog {
@@ -137,21 +137,22 @@
 	return best, found
 }
 
-// InOwnDataCentre returns the candidates in the data centre of this daemon.
-func (p *Placer) InOwnDataCentre(candidates []member.Candidate) []member.Candidate {
-	var own []member.Candidate
+// ByDataCentre divides the candidates into those in the data centre of this daemon and the others.
+func (p *Placer) ByDataCentre(candidates []member.Candidate) (own, others []member.Candidate) {
 	for _, c := range candidates {
 		if c.DataCentre == p.DataCentre {
 			own = append(own, c)
+		} else {
+			others = append(others, c)
 		}
 	}
-	return own
+	return own, others
 }
 
 // PickQueues returns up to count backend servers in whose queues a request should wait, the shortest expected wait
 // first. If there are no more than count, their order is random.
 func (p *Placer) PickQueues(now time.Time, candidates []member.Candidate, tried []string, count int, t Transfer) []member.Candidate {
-	usable := p.usable(now, candidates, tried)
+	usable := p.Usable(now, candidates, tried)
 	p.Random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
 	if len(usable) <= count {
 		return usable
@@ -165,7 +166,7 @@
 // expectedWait estimates the wait for a slot at a backend server from its load per slot and its relative time, and adds
 // the delay of the transfer. It only serves to compare backend servers.
 func (p *Placer) expectedWait(c member.Candidate, t Transfer) time.Duration {
-	return time.Duration(float64(referenceServiceTime)*loadPerSlot(c)*p.relativeTimeOf(c.Server.ID, t)) + t.delay(p, c)
+	return time.Duration(float64(t.answerTime())*loadPerSlot(c)*p.relativeTimeOf(c.Server.ID, t)) + t.delay(p, c)
 }
 
 // loadPerSlot returns the running and waiting requests of a backend server for each slot. An old load is replaced by
@@ -177,10 +178,10 @@
 	return float64(c.Load.Running+c.Load.Waiting) / float64(max(1, c.Load.Slots))
 }
 
-// usable returns the candidates without those that were tried. Candidates that are unreachable or fail many requests
+// Usable returns the candidates without those that were tried. Candidates that are unreachable or fail many requests
 // are returned only if no others are left, and those whose daemon is stopping only if there are none of these either:
 // when all daemons of a service are stopped at once, they serve the requests that were read.
-func (p *Placer) usable(now time.Time, candidates []member.Candidate, tried []string) []member.Candidate {
+func (p *Placer) Usable(now time.Time, candidates []member.Candidate, tried []string) []member.Candidate {
 	var healthy, unhealthy, stopping []member.Candidate
 	for _, c := range candidates {
 		switch {
@@ -206,5 +207,5 @@
 // service.
 func (p *Placer) expectedTime(c member.Candidate, t Transfer) time.Duration {
 	relativeTime := p.relativeTimeOf(c.Server.ID, t)
-	return time.Duration(float64(referenceServiceTime)*relativeTime*(1+fullLoadSlowdown*loadPerSlot(c))) + t.delay(p, c)
+	return time.Duration(float64(t.answerTime())*relativeTime*(1+fullLoadSlowdown*loadPerSlot(c))) + t.delay(p, c)
 }
--- a/sidecar/placement/transfer.go
+++ b/sidecar/placement/transfer.go
@@ -12,7 +12,7 @@
 	otherCentreDelay = 12 * time.Millisecond
 	// otherCentreDelayPerKilobyte is added to it for each kilobyte of the request and its answer, because the bytes
 	// between data centres are costly.
-	otherCentreDelayPerKilobyte = 2 * time.Millisecond
+	otherCentreDelayPerKilobyte = 10 * time.Millisecond
 	// maximumOtherCentreDelay bounds both together, so that a large request still leaves a data centre that is full.
 	maximumOtherCentreDelay = 160 * time.Millisecond
 	// sameCentreDelay is what another instance of the own data centre adds.
@@ -30,6 +30,8 @@
 	Kind route.Kind
 	// Size is the usual number of bytes of a request of the route and its answer, or 0 if it is unknown.
 	Size int
+	// AnswerTime is the usual time until an answer of the route, or 0 if it is unknown.
+	AnswerTime time.Duration
 	// Backlog is how long a large body would wait for the link of the entry daemon's instance.
 	Backlog time.Duration
 }
@@ -45,6 +47,14 @@
 	return unknownSmallSize
 }
 
+// answerTime returns the expected time until an answer of a backend server with a relative time of 1.
+func (t Transfer) answerTime() time.Duration {
+	if t.AnswerTime > 0 {
+		return t.AnswerTime
+	}
+	return referenceServiceTime
+}
+
 // isDownload reports whether the answer is large, so that the link of the owner's instance matters.
 func (t Transfer) isDownload() bool { return t.Kind == route.Download }
 
