--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -16,6 +16,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"siskinspar.example/sidecar/memory"
+	"siskinspar.example/sidecar/recovery"
 )
 
 const (
@@ -101,7 +102,7 @@
 		}
 		n.queue <- x
 		if x.request != nil {
-			go func() { x.response <- n.server.Handler.Serve(n.ctx, x.request) }()
+			go func() { x.response <- n.serve(x.request) }()
 		}
 		if !isOpen {
 			n.cancelOnDisconnect()
@@ -110,6 +111,14 @@
 	}
 }
 
+// serve returns the answer to a request. After a panic it may have run, so that the answer promises nothing.
+func (n *conn) serve(r *Request) (response *Response) {
+	defer recovery.Handle(n.server.Logger, "ingress", func() {
+		response = &Response{Status: http.StatusBadGateway, Header: http.Header{}}
+	})
+	return n.server.Handler.Serve(n.ctx, r)
+}
+
 // awaitRequest waits up to idle for the first byte of a request, and reports whether to read the request. If the
 // connection ends meanwhile, the requests that are being served are cancelled.
 func (n *conn) awaitRequest(idle time.Duration) bool {
--- a/sidecar/ingress/server_test.go
+++ b/sidecar/ingress/server_test.go
@@ -30,6 +30,9 @@
 
 func (h *handler) Serve(ctx context.Context, r *ingress.Request) *ingress.Response {
 	h.started <- r.RequestURI
+	if r.RequestURI == "/panic" {
+		panic("injected")
+	}
 	if strings.HasPrefix(r.RequestURI, "/wait") {
 		select {
 		case <-h.release:
@@ -251,3 +254,14 @@
 	response, _ = read(t, firstReader)
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 }
+
+func TestAPanicEndsOnlyItsRequest(t *testing.T) {
+	_, _, address := start(t)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, get("/before")+get("/panic")+get("/after"))
+	assert.NilError(t, err)
+	for _, status := range []int{http.StatusOK, http.StatusBadGateway, http.StatusOK} {
+		response, _ := read(t, r)
+		assert.Equal(t, response.StatusCode, status)
+	}
+}
--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"siskinspar.example/sidecar/member"
 	"siskinspar.example/sidecar/message"
+	"siskinspar.example/sidecar/recovery"
 	"siskinspar.example/sidecar/route"
 	"siskinspar.example/sidecar/slot"
 	"siskinspar.example/sidecar/upstream"
@@ -91,8 +94,7 @@
 	if reason != "" {
 		return o.refusedReply(reason)
 	}
-	header := o.Headers.ForServer(c.Request, c.Job.Server, c.Job.Deadline)
-	result := client.Send(ctx, c.Request, header, c.Job.Deadline)
+	result := o.send(ctx, client, c)
 	took := time.Since(arrived)
 	reply := o.completeCall(tc, c, result)
 	if reply.Outcome == message.Unknown && !reply.IsExpired && reply.Reason != ReasonWithdrawn {
@@ -107,6 +109,15 @@
 	return reply
 }
 
+// send sends a request to the backend server. After a panic the outcome is unknown.
+func (o *Owner) send(ctx context.Context, client *upstream.Client, c message.Call) (result upstream.Result) {
+	defer recovery.Handle(o.Logger, "owner", func() {
+		result = upstream.Result{Outcome: upstream.Lost, Err: eris.New("the request ended in a panic")}
+	})
+	header := o.Headers.ForServer(c.Request, c.Job.Server, c.Job.Deadline)
+	return client.Send(ctx, c.Request, header, c.Job.Deadline)
+}
+
 // keepReply keeps the reply to a call for Resume.
 func (o *Owner) keepReply(tc *trackedCall, reply message.Reply) {
 	o.mu.Lock()
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -1,6 +1,7 @@
 package sidecar_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -210,6 +211,24 @@
 	assert.Equal(t, d.executions[len(d.executions)-1].Caller, "hub", "the caller is the service where the request entered")
 }
 
+// A request without any header fields is whole, and must not harm the daemon to which it is forwarded.
+func TestARequestWithoutHeadersIsServed(t *testing.T) {
+	d := newDeployment(t)
+	d.configure(1, "hub")
+	desk := d.add("desk")
+	d.add("hub")
+	d.await(desk, "server-1")
+	c, err := net.Dial("tcp", desk.settings.Clients)
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET /r/bare HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+}
+
 func TestANewerConfigurationComesIntoForceEverywhere(t *testing.T) {
 	d := newDeployment(t)
 	d.configure(1, "desk")
