perf(discovery): probe six daemons a round in a large mesh, and tell a change after a probe in flight

Change: six a round besides relays and unreachable daemons where there are more than 16 others (small meshes still probe all); a probe in flight is followed by another when the daemon's state has changed meanwhile.

TestAChangeDuringAProbeIsTold fails without (not told within 20 s among 600 daemons).

--- a/sidecar/discovery/prober.go
+++ b/sidecar/discovery/prober.go
@@ -21,9 +21,13 @@
 	maximumFetches = 2
 	// probePeriod is the mean time between two rounds of probes; each is jittered.
 	probePeriod = 700 * time.Millisecond
-	// probesPerRound is the number of daemons probed in a round. In a larger mesh the rounds go through the daemons in
-	// order of address.
-	probesPerRound = 16
+	// smallMesh is the number of other daemons up to which each round probes all.
+	smallMesh = 16
+	// probesPerRound is the number of daemons probed in a round of a larger mesh, besides the relays and unreachable ones.
+	// The rounds go through the daemons in order of address. It is small, since changes are announced by probes to all.
+	probesPerRound = 6
+	// unreachablePerRound is the number of unreachable daemons probed in a round of a larger mesh.
+	unreachablePerRound = 16
 	// fetchDelay gives the relays of the own data centre time to deliver a new configuration before a daemon of another
 	// one is asked for it.
 	fetchDelay = 500 * time.Millisecond
@@ -71,7 +75,8 @@
 	Relays func() []string
 
 	mu sync.Mutex
-	// inFlight holds the addresses of daemons with an unanswered probe.
+	// inFlight holds the addresses of daemons with an unanswered probe, and whether another probe has to follow it: the
+	// state of this daemon may have changed since.
 	inFlight map[string]bool
 	probeAll chan struct{}
 	// probeNeighbours starts a round for the daemons of this data centre.
@@ -133,6 +138,7 @@
 	last := time.Now()
 	for ctx.Err() == nil {
 		var addresses []string
+		isChange := true
 		timer := time.NewTimer(jitter(probePeriod))
 		select {
 		case <-ctx.Done():
@@ -141,6 +147,7 @@
 		case <-p.probeNeighbours:
 			addresses = p.neighbours()
 		case <-timer.C:
+			isChange = false
 			addresses = p.due(p.Members.Addresses())
 		}
 		timer.Stop()
@@ -151,7 +158,7 @@
 		last = now
 		p.round++
 		for _, a := range addresses {
-			p.startProbe(ctx, a)
+			p.startProbe(ctx, a, isChange)
 		}
 	}
 }
@@ -168,7 +175,7 @@
 // due returns the daemons to probe in this round: the relays, the next probesPerRound in order, and up to as many
 // unreachable ones.
 func (p *Prober) due(addresses []string) []string {
-	if len(addresses) <= probesPerRound {
+	if len(addresses) <= smallMesh {
 		return addresses
 	}
 	p.cursor %= len(addresses)
@@ -180,8 +187,9 @@
 		}
 	}
 	now := time.Now()
+	most := len(due) + unreachablePerRound
 	for _, a := range addresses {
-		if p.Members.UnreachableFor(now, a) > 0 && len(due) < 2*probesPerRound && !slices.Contains(due, a) {
+		if p.Members.UnreachableFor(now, a) > 0 && len(due) < most && !slices.Contains(due, a) {
 			due = append(due, a)
 		}
 	}
@@ -189,8 +197,9 @@
 }
 
 // startProbe starts to probe a daemon unless a probe of it is in flight, or it has been unreachable for longer than
-// slowProbeAfter and this is not one of the rounds for it.
-func (p *Prober) startProbe(ctx context.Context, address string) {
+// slowProbeAfter and this is not one of the rounds for it. A change of this daemon is told by another probe once the one
+// in flight has ended.
+func (p *Prober) startProbe(ctx context.Context, address string, isChange bool) {
 	if address == p.Address {
 		return
 	}
@@ -199,21 +208,33 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.inFlight[address] {
+	if _, ok := p.inFlight[address]; ok {
+		p.inFlight[address] = p.inFlight[address] || isChange
 		return
 	}
-	p.inFlight[address] = true
+	p.inFlight[address] = false
 	go func() {
-		p.probe(ctx, address, peer.TrafficControl)
-		if p.Pool.Connection(address, peer.TrafficBulk).IsBusy() {
-			p.probe(ctx, address, peer.TrafficBulk)
+		for isDue := true; isDue && ctx.Err() == nil; isDue = p.endProbe(address) {
+			p.probe(ctx, address, peer.TrafficControl)
+			if p.Pool.Connection(address, peer.TrafficBulk).IsBusy() {
+				p.probe(ctx, address, peer.TrafficBulk)
+			}
 		}
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		delete(p.inFlight, address)
 	}()
 }
 
+// endProbe records that a probe has ended, and reports whether another has to follow it.
+func (p *Prober) endProbe(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.inFlight[address] {
+		p.inFlight[address] = false
+		return true
+	}
+	delete(p.inFlight, address)
+	return false
+}
+
 // probe sends a probe and handles the reply; a probe that times out closes the connection.
 func (p *Prober) probe(ctx context.Context, address string, class peer.TrafficClass) {
 	callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
