perf(discovery): take back the smaller rounds of probes

Cause: six probes a round were meant to save processor time on the large site.

Change: 16 a round again.

--- a/sidecar/discovery/prober.go
+++ b/sidecar/discovery/prober.go
@@ -24,8 +24,8 @@
 	// smallMesh is the number of other daemons up to which each round probes all.
 	smallMesh = 16
 	// probesPerRound is the number of daemons probed in a round of a larger mesh, besides the relays and unreachable ones.
-	// The rounds go through the daemons in order of address. It is small, since changes are announced by probes to all.
-	probesPerRound = 6
+	// The rounds go through the daemons in order of address.
+	probesPerRound = 16
 	// unreachablePerRound is the number of unreachable daemons probed in a round of a larger mesh.
 	unreachablePerRound = 16
 	// fetchDelay gives the relays of the own data centre time to deliver a new configuration before a daemon of another
