--- a/sidecar/member/record.go
+++ b/sidecar/member/record.go
@@ -26,7 +26,7 @@
 	return "absent"
 }
 
-// Server describes a backend server. Daemons send it to each other with gob.
+// Server describes a backend server. Daemons send it to each other; see package peer.
 type Server struct {
 	ID      string
 	Service string
@@ -43,7 +43,7 @@
 	Cold time.Duration
 }
 
-// Load is the current load of a backend server. Daemons send it to each other with gob.
+// Load is the current load of a backend server. Daemons send it to each other; see package peer.
 type Load struct {
 	Running int
 	Waiting int
@@ -59,7 +59,7 @@
 // IsFree reports whether the backend server has a free slot and no request waits for one.
 func (l Load) IsFree() bool { return l.Running < l.Slots && l.Waiting == 0 }
 
-// Record is the state that a daemon reports of itself. Daemons send it to each other with gob.
+// Record is the state that a daemon reports of itself. Daemons send it to each other; see package peer.
 type Record struct {
 	// Address is where the daemon accepts calls of other daemons.
 	Address    string
