fix(sidecar): remember failed reads of the store by the steady clock

Cause: read while looking at the diff. The time of a failed read was kept as time of day, so a clock that steps back would have kept a daemon from being a relay for as long as the step. Change: the time keeps its steady reading.

--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -89,14 +89,15 @@
 // change with the next probes.
 func (s *Sidecar) recordStoreResult(err error) {
 	if err == nil {
-		s.storeFailedAt.Store(0)
+		s.storeFailedAt.Store(nil)
 		return
 	}
-	s.storeFailedAt.Store(time.Now().UnixNano())
+	now := time.Now()
+	s.storeFailedAt.Store(&now)
 }
 
 // isStoreDown reports whether this daemon can't read the store, as far as it knows.
 func (s *Sidecar) isStoreDown(now time.Time) bool {
 	failedAt := s.storeFailedAt.Load()
-	return failedAt != 0 && now.Sub(time.Unix(0, failedAt)) < storeDownMemory
+	return failedAt != nil && now.Sub(*failedAt) < storeDownMemory
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -71,8 +71,8 @@
 	// selectorLock guards selector.MustFollow; the tables that it reads have locks of their own, taken after it.
 	selectorLock sync.Mutex
 	selector     *relay.Selector
-	// storeFailedAt is when the store last failed a read, in nanoseconds since 1970, or 0 after a success.
-	storeFailedAt atomic.Int64
+	// storeFailedAt is when the store last failed a read, by the steady clock, or nil after a success.
+	storeFailedAt atomic.Pointer[time.Time]
 	ingress       *ingress.Server
 	peers         *peer.Server
 	servers       []*http.Server
