feat(owner): tell refusals for the link from those for slots, and log the load they come with

Change: two reasons end with "for the link"; at most once a second an owner that refuses says how many requests, by priority and reason, with its load; the line of a failed request names kind, priority and whether it counts as nested. No decision changes.

--- a/sidecar/entry/handler.go
+++ b/sidecar/entry/handler.go
@@ -147,7 +147,7 @@
 	took := time.Since(r.Arrived)
 	h.Meter.Count(result.outcome, result.response.Status, took)
 	if result.reason != "" {
-		h.Logger.Info("entry: request failed", "request", id, "route", matched.Name(), "version", uint64(table.Version()), "outcome", result.outcome.String(),
+		h.Logger.Info("entry: request failed", "request", id, "route", matched.Name(), "kind", matched.Kind().String(), "priority", matched.Priority(), "nested", c.isNested, "version", uint64(table.Version()), "outcome", result.outcome.String(),
 			"status", result.response.Status, "reason", result.reason, "owner", c.owner, "tried", c.tried, "took", took, "pause", result.retryAfter)
 	}
 	return result.response
--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -29,6 +29,7 @@
 	t, decision, reason := o.slots.Arrive(now, j, true)
 	if decision == slot.Refuse {
 		defer o.mu.Unlock()
+		o.refusals.count(q.Priority, reason)
 		return message.Grant{Reason: string(reason), Load: o.load()}
 	}
 	waiting := o.addCall(q, t)
@@ -63,7 +64,7 @@
 func (o *Owner) addCall(q message.Job, t slot.Ticket) *trackedCall {
 	tc := &trackedCall{
 		key: callKey{q.Entry, q.Number}, ticket: t, ended: make(chan struct{}), waitResult: make(chan slot.Reason, 1), deadline: time.Now().Add(q.Deadline),
-		grantLifetime: grantLifetime + min(q.TransferTime, maximumTransferTime),
+		priority: q.Priority, grantLifetime: grantLifetime + min(q.TransferTime, maximumTransferTime),
 	}
 	o.calls[tc.key] = tc
 	o.tickets[t] = tc
--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -91,6 +91,7 @@
 	// unreachableUntil is when requests are sent again to a backend server that refused a connection.
 	unreachableUntil time.Time
 	failures         failures
+	refusals         refusals
 	lastCheck        crashCheck
 	// unmatchedDrain is a drain of which this daemon has learned without the announcement of the server: from a drain
 	// call with an ID that it does not know, or from the report of another daemon. It is needed after a restart of this
@@ -120,8 +121,9 @@
 	cancel context.CancelFunc
 	// grantLifetime is how long a granted slot waits for the call: longer if the call has a large body.
 	grantLifetime time.Duration
-	// deadline is that of the request.
+	// deadline and priority are those of the request.
 	deadline time.Time
+	priority int
 	// ended is closed once the reply to the call is kept in results.
 	ended chan struct{}
 }
@@ -147,6 +149,7 @@
 		case <-time.After(o.period()):
 			o.mu.Lock()
 			o.notify(o.slots.Advance(time.Now()))
+			o.logRefusals(time.Now())
 			o.mu.Unlock()
 		}
 	}
@@ -270,6 +273,7 @@
 		if change.IsRun() {
 			o.slots.Grant(change.Ticket(), time.Now().Add(tc.grantLifetime))
 		} else {
+			o.refusals.count(tc.priority, change.Reason())
 			o.removeCall(tc)
 		}
 		tc.waitResult <- change.Reason()
--- a/sidecar/route/route.go
+++ b/sidecar/route/route.go
@@ -17,6 +17,19 @@
 	Upload
 )
 
+// String returns the kind for logs.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Download:
+		return "download"
+	case Upload:
+		return "upload"
+	}
+	return "unrepeatable"
+}
+
 // IsRepeatable reports whether a request of the kind may run again.
 func (k Kind) IsRepeatable() bool { return k == Idempotent || k == Download }
 
--- a/sidecar/slot/controller.go
+++ b/sidecar/slot/controller.go
@@ -111,21 +111,23 @@
 	if !mayWait {
 		return 0, Refuse, ReasonBusy
 	}
-	if c.wouldWaitTooLong(now, j) {
+	if c.isWaitTooLong(now, j, c.slotWait(now, j)) {
 		return 0, Refuse, ReasonWaitTooLong
 	}
+	if c.isWaitTooLong(now, j, c.linkWait(now, j)) {
+		return 0, Refuse, ReasonLinkWaitTooLong
+	}
 	c.queue = append(c.queue, queuedJob{ticket: c.lastTicket, job: j, arrived: now})
 	return c.lastTicket, Wait, ""
 }
 
-// wouldWaitTooLong reports whether a new job has to be refused because of the jobs ahead of it.
+// isWaitTooLong reports whether a new job has to be refused because of an expected wait.
 //
 // Wait and service must fit into the time until the deadline. A job that can meet its target now must still be able to
 // after the wait: one that became late in the queue would take a slot from a job that can be in time. A job that is
 // late on arrival is queued only for a short wait, for a slot that no other job needs. The target doesn't count for
 // nested jobs.
-func (c *Controller) wouldWaitTooLong(now time.Time, j Job) bool {
-	wait := c.ExpectedWait(now, j)
+func (c *Controller) isWaitTooLong(now time.Time, j Job, wait time.Duration) bool {
 	if float64(wait+c.serviceTimes.mean(j.Class)) > maximumDeadlineShare*float64(j.Deadline.Sub(now)) {
 		return true
 	}
@@ -138,8 +140,7 @@
 	return isLate(now.Add(wait), c.serviceTimes, j)
 }
 
-// ExpectedWait returns how long a new job would wait for a slot, or for the link if its answer is large and that wait
-// is longer. It returns an hour if there are no slots.
+// slotWait returns how long a new job would wait for a slot, or an hour if there are none.
 //
 // The wait for a slot is the work ahead of the job divided by the number of slots. The work ahead is the service times
 // of the queued jobs that go first and, if no slot is free, half a mean service time of the job's own class for the
@@ -147,7 +148,7 @@
 //
 // Slots that run jobs of a higher priority don't count, up to half of all slots: as many such jobs will arrive and take
 // them again.
-func (c *Controller) ExpectedWait(now time.Time, j Job) time.Duration {
+func (c *Controller) slotWait(now time.Time, j Job) time.Duration {
 	if c.slots <= 0 {
 		return time.Hour
 	}
@@ -166,7 +167,7 @@
 			urgent++
 		}
 	}
-	return max(time.Duration(ahead/float64(max((c.slots+1)/2, c.slots-urgent))), c.linkWait(now, j))
+	return time.Duration(ahead / float64(max((c.slots+1)/2, c.slots-urgent)))
 }
 
 // Grant marks the slot that a job got as granted to a reservation, whose call is still to arrive: the grant expires
@@ -240,7 +241,11 @@
 		if !c.hasWaitedTooLong(now, q) {
 			return false
 		}
-		changes = append(changes, StatusChange{ticket: q.ticket, reason: ReasonWaitedTooLong})
+		reason := ReasonWaitedTooLong
+		if !c.hasLinkCapacity(now, q.job) {
+			reason = ReasonLinkWaitedTooLong
+		}
+		changes = append(changes, StatusChange{ticket: q.ticket, reason: reason})
 		return true
 	})
 	return changes
--- a/sidecar/slot/job.go
+++ b/sidecar/slot/job.go
@@ -60,8 +60,12 @@
 	ReasonBusy Reason = "no free slot"
 	// ReasonWaitTooLong means that the expected wait was too long when the job arrived.
 	ReasonWaitTooLong Reason = "would wait too long"
+	// ReasonLinkWaitTooLong means that the expected wait for the link alone was too long when the job arrived.
+	ReasonLinkWaitTooLong Reason = "would wait too long for the link"
 	// ReasonWaitedTooLong means that the job was removed from the queue after too long a wait.
 	ReasonWaitedTooLong Reason = "waited too long"
+	// ReasonLinkWaitedTooLong means the same for a job that the link still kept from a slot.
+	ReasonLinkWaitedTooLong Reason = "waited too long for the link"
 	// ReasonGrantExpired means that a granted slot was freed because it was not claimed in time.
 	ReasonGrantExpired Reason = "the granted slot has lapsed"
 )
