fix(owner): keep a withdrawal that is handled before its reservation

Cause: a request waits at up to 16 owners, takes the first slot and withdraws the other reservations. net/rpc handles the messages of one connection concurrently, so a withdrawal that came in the same read as its reservation often ran first (the goroutine started last runs first on one processor). It was ignored as unknown; the reservation then waited, was granted a slot, and held it for 250 ms until the grant lapsed. Change: a withdrawal of an unknown request is kept for two seconds; the request is refused when it comes.

--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -88,6 +88,8 @@
 	calls   map[callKey]*trackedCall
 	tickets map[slot.Ticket]*trackedCall
 	results results
+	// withdrawals are those of requests that have not come yet.
+	withdrawals withdrawals
 	// unreachableUntil is when requests are sent again to a backend server that refused a connection.
 	unreachableUntil time.Time
 	failures         failures
@@ -287,12 +289,14 @@
 }
 
 // Withdraw removes a waiting request from the queue, releases the slot that was granted to it, or cancels its running
-// call. An unknown request is ignored.
+// call. One that has not come yet is refused when it comes.
 func (o *Owner) Withdraw(w message.Withdrawal) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	tc, ok := o.calls[callKey{w.Entry, w.Number}]
+	k := callKey{w.Entry, w.Number}
+	tc, ok := o.calls[k]
 	if !ok {
+		o.withdrawals.add(time.Now(), k)
 		return
 	}
 	if tc.cancel != nil {
