fix(entry): let large requests that wait in their data centre wait in others too

What callers saw: a download or upload waited at the owners of its own data centre alone until each had refused it; a full data centre, or one owner that hangs, held it until it was late or its deadline had passed. Cause: candidates were divided by data centre before the wait, so the second half of the wait, in other data centres after an eighth of the time to the target, never came for large requests. Change: one wait for all kinds. Large requests still take a free slot without waiting only in their own data centre. Evidence: TestARequestWaitsInItsOwnDataCentreFirst now plays downloads and uploads too; both cases with a slow or hanging owner failed before.

--- a/sidecar/entry/reserve_test.go
+++ b/sidecar/entry/reserve_test.go
@@ -28,21 +28,23 @@
 		{"granted there while others are asked", map[string]scriptedReservation{"a": {110 * time.Millisecond, true}, "b": {never, true}, "c": {never, true}}, "a", []string{"a", "b", "c"}, 120 * time.Millisecond},
 		{"the owner there hangs", map[string]scriptedReservation{"a": {never, true}, "b": {0, true}, "c": {never, true}}, "b", []string{"a", "b", "c"}, 120 * time.Millisecond},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := &fakeDaemons{centres: map[string]string{"b": "other", "c": "other"}, reservations: c.reservations}
-				h := newHandler(t, f, route.Idempotent)
-				began := time.Now()
-				response := h.Serve(t.Context(), arriving("/x/1"))
-				assert.Equal(t, response.Status, http.StatusOK)
-				assert.DeepEqual(t, f.called, []string{c.called})
-				assert.Assert(t, time.Since(began) < c.within, "took %v", time.Since(began))
-				synctest.Wait()
-				slices.Sort(f.reserved)
-				assert.DeepEqual(t, f.reserved, c.asked)
-				assert.Equal(t, f.withdrawn, len(c.asked)-1-refused(c.reservations), "the other reservations are withdrawn")
+		for _, kind := range []route.Kind{route.Idempotent, route.Download, route.Upload} {
+			t.Run(c.name+", "+kind.String(), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := &fakeDaemons{centres: map[string]string{"b": "other", "c": "other"}, reservations: c.reservations}
+					h := newHandler(t, f, kind)
+					began := time.Now()
+					response := h.Serve(t.Context(), arriving("/x/1"))
+					assert.Equal(t, response.Status, http.StatusOK)
+					assert.DeepEqual(t, f.called, []string{c.called})
+					assert.Assert(t, time.Since(began) < c.within, "took %v", time.Since(began))
+					synctest.Wait()
+					slices.Sort(f.reserved)
+					assert.DeepEqual(t, f.reserved, c.asked)
+					assert.Equal(t, f.withdrawn, len(c.asked)-1-refused(c.reservations), "the other reservations are withdrawn")
+				})
 			})
-		})
+		}
 	}
 }
 
--- a/sidecar/entry/select.go
+++ b/sidecar/entry/select.go
@@ -14,24 +14,20 @@
 // slot.
 //
 // The bytes between data centres are costly, so a request first waits for the backend servers of its own data centre, and
-// only where these would serve it too late for the others. One with a large body or answer does so even if a slot is free
-// elsewhere.
+// only where these would serve it too late also for the others. One with a large body or answer does so even if a slot is
+// free elsewhere.
 func (h *Handler) selectDestination(ctx context.Context, c *clientCall, now time.Time, mayCallDirectly bool) (destination, bool) {
 	candidates := h.Directory.Candidates(now, c.service)
-	groups := [][]member.Candidate{candidates}
+	direct := candidates
 	if c.route.Kind().IsLarge() {
-		own, others := h.Placer.ByDataCentre(candidates)
-		groups = [][]member.Candidate{own, others}
+		direct, _ = h.Placer.ByDataCentre(candidates)
 	}
-	for _, group := range groups {
-		if d, ok := h.pickFree(c, group, now); ok && mayCallDirectly {
-			return d, true
-		}
-		if d, ok := h.reserveByDistance(ctx, c, group, now); ok {
+	if mayCallDirectly {
+		if d, ok := h.pickFree(c, direct, now); ok {
 			return d, true
 		}
 	}
-	return destination{}, false
+	return h.reserveByDistance(ctx, c, candidates, now)
 }
 
 // pickFree returns a backend server that appears to have a free slot and may be called without a reservation.
@@ -52,7 +48,8 @@
 func (h *Handler) reserveByDistance(ctx context.Context, c *clientCall, candidates []member.Candidate, now time.Time) (destination, bool) {
 	transfer := h.transfer(now, c)
 	h.mu.Lock()
-	own, others := h.Placer.ByDataCentre(h.Placer.Usable(now, candidates, c.tried))
+	usable := h.Placer.Usable(now, candidates, c.tried)
+	own, others := h.Placer.ByDataCentre(usable)
 	near := h.Placer.PickQueues(now, own, c.tried, queueCount(own), transfer)
 	far := h.Placer.PickQueues(now, others, c.tried, queueCount(others), transfer)
 	h.mu.Unlock()
