perf(entry): wait at two owners of each side in services with more than eight backend servers

Cause: divided the owners by data centre before it counted them, so on the grown sites, with 18 and 19 servers of a service, a request waited at 4 + 8 owners in place of 4. Each owner beyond the first that grants costs a slot until the withdrawal comes, and messages. Change: the count goes by all backend servers that the request may use; above eight it waits at two of its own data centre and two of others.

--- a/sidecar/entry/dispatch.go
+++ b/sidecar/entry/dispatch.go
@@ -15,10 +15,10 @@
 const (
 	// maximumQueues is the number of owners of the own data centre, and of others, at which one request waits at once.
 	maximumQueues = 8
-	// sampledQueues is that number where there are more than samplingThreshold backend servers: a sample is nearly as
-	// good there, and each owner costs messages.
-	sampledQueues     = 4
-	samplingThreshold = 16
+	// sampledQueues is that number where there are more than samplingThreshold backend servers: the better of two is
+	// nearly as good there, and each owner costs messages and perhaps a grant that is not used.
+	sampledQueues     = 2
+	samplingThreshold = 8
 	// maximumDirectCalls is the number of first calls of a request that need no granted slot. One of them that had a
 	// reservation counts too.
 	maximumDirectCalls = 3
--- a/sidecar/entry/select.go
+++ b/sidecar/entry/select.go
@@ -50,13 +50,14 @@
 	h.mu.Lock()
 	usable := h.Placer.Usable(now, candidates, c.tried)
 	own, others := h.Placer.ByDataCentre(usable)
-	near := h.Placer.PickQueues(now, own, c.tried, queueCount(own), transfer)
-	far := h.Placer.PickQueues(now, others, c.tried, queueCount(others), transfer)
+	near := h.Placer.PickQueues(now, own, c.tried, queueCount(usable), transfer)
+	far := h.Placer.PickQueues(now, others, c.tried, queueCount(usable), transfer)
 	h.mu.Unlock()
 	return h.reserve(ctx, c, near, far)
 }
 
-// queueCount returns the number of owners at which one request waits at once.
+// queueCount returns the number of owners at which one request waits at once in its own data centre, and again in others,
+// given all that it may use.
 func queueCount(candidates []member.Candidate) int {
 	if len(candidates) > samplingThreshold {
 		return sampledQueues
