feat(owner): drain a backend server that says in an answer that it leaves

A backend server that leaves says so in all its answers (Server-Leaving), also one that never announces a drain; it was used until it deregistered. Cause: the header was not read. Change: the adapter decodes what a backend server states of itself in an answer. The owner drains it at once, as after an announcement; the daemon that sent the request leaves it out too, before its client gets the answer, and tells the owner again by probes, since the owner may restart and forget. An answer with status 421 comes from another server and states nothing; one over the connections of an earlier incarnation is ignored.

--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -43,6 +43,9 @@
 // RecordUnreachable implements entry.Directory.
 func (d *directory) RecordUnreachable(address string) { d.table.RecordUnreachable(time.Now(), address) }
 
+// RecordLeaving implements entry.Directory. The owner of this daemon knows it already.
+func (d *directory) RecordLeaving(address string, s member.Server) { d.table.RecordLeaving(address, s) }
+
 // Daemons implements entry.Directory.
 func (d *directory) Daemons() int { return d.table.Len() + 1 }
 
--- a/sidecar/entry/handler.go
+++ b/sidecar/entry/handler.go
@@ -33,6 +33,8 @@
 	RecordSent(address string)
 	// RecordUnreachable records that nothing could be sent to the owner at an address.
 	RecordUnreachable(address string)
+	// RecordLeaving records that the backend server beside the owner at an address has stated that it leaves.
+	RecordLeaving(address string, s member.Server)
 	// Daemons returns the number of known daemons, including this one.
 	Daemons() int
 }
@@ -70,6 +72,8 @@
 	Refusal(id string, retryAfter time.Duration) http.Header
 	// ForClient returns the headers of a backend server's answer without those that concern one connection only.
 	ForClient(h http.Header) http.Header
+	// Notice returns what a backend server states of itself in an answer.
+	Notice(status int, h http.Header) member.Notice
 	// Forwarded returns the headers of a client request that are passed on to a backend server.
 	Forwarded(h http.Header) http.Header
 }
--- a/sidecar/entry/handler_test.go
+++ b/sidecar/entry/handler_test.go
@@ -60,6 +60,8 @@
 	// reservations are the replies of the owners, which then report no free slot; reserved lists the owners asked.
 	reservations map[string]scriptedReservation
 	reserved     []string
+	// leaving lists the owners whose backend servers have stated that they leave.
+	leaving []string
 	// isFull makes the owners report no free slot and refuse reservations.
 	isFull bool
 }
@@ -83,6 +85,9 @@
 func (f *fakeDaemons) RecordLoad(time.Time, string, member.Load) {}
 func (f *fakeDaemons) RecordUnreachable(string)                  {}
 func (f *fakeDaemons) RecordSent(string)                         {}
+func (f *fakeDaemons) RecordLeaving(address string, _ member.Server) {
+	f.leaving = append(f.leaving, address)
+}
 func (f *fakeDaemons) Call(ctx context.Context, address string, _ *message.Call) (message.Reply, bool, error) {
 	s := f.next(address)
 	if s.delay == 0 {
@@ -319,3 +324,19 @@
 		})
 	}
 }
+
+// TestAnAnswerThatSaysTheServerLeavesIsRecorded guards against later requests to a backend server that leaves, whose
+// daemon may have forgotten it by then.
+func TestAnAnswerThatSaysTheServerLeavesIsRecorded(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusInternalServerError} {
+		f := &fakeDaemons{}
+		leaving := ran(status)
+		leaving.reply.Answer.Header.Set("Server-Leaving", "1")
+		f.script = []scriptedCall{leaving, ran(http.StatusOK)}
+		h := newHandler(t, f, route.Unrepeatable)
+		assert.Equal(t, h.Serve(t.Context(), request("/x/1")).Status, status)
+		assert.DeepEqual(t, f.leaving, f.called)
+		h.Serve(t.Context(), request("/x/1"))
+		assert.Equal(t, len(f.leaving), 1, "an answer without the statement")
+	}
+}
--- a/sidecar/entry/hedge.go
+++ b/sidecar/entry/hedge.go
@@ -55,10 +55,18 @@
 		s.reason = err.Error()
 	} else {
 		h.Directory.RecordLoad(now, to.Address, reply.Load)
+		h.recordNotice(to, reply.Answer)
 	}
 	return s
 }
 
+// recordNotice records what a backend server states of itself in an answer, before the client gets it.
+func (h *Handler) recordNotice(from member.Candidate, a message.Answer) {
+	if h.Headers.Notice(a.Status, a.Header).IsLeaving {
+		h.Directory.RecordLeaving(from.Address, from.Server)
+	}
+}
+
 // sendHedged sends a request and returns the result. An idempotent request is also sent to a second owner when its
 // answer takes unusually long; the first successful answer is used, and the other call is cancelled. If both calls
 // fail, the result is that of the call which ended last.
--- a/sidecar/member/record.go
+++ b/sidecar/member/record.go
@@ -43,6 +43,12 @@
 	Cold time.Duration
 }
 
+// Notice is what a backend server states of itself in an answer to a request.
+type Notice struct {
+	// IsLeaving is true if the backend server drains or is about to stop.
+	IsLeaving bool
+}
+
 // Load is the current load of a backend server. Daemons send it to each other; see package peer.
 type Load struct {
 	Running int
--- a/sidecar/member/table.go
+++ b/sidecar/member/table.go
@@ -18,7 +18,7 @@
 	record     Record
 	isKnown    bool
 	lastReport time.Time
-	// lastDraining is the latest backend server that the daemon reported as draining.
+	// lastDraining is the latest backend server that the daemon reported as draining, or that stated itself that it leaves.
 	lastDraining Server
 	// unreachableSince is when the daemon first failed to answer; it is zero while the daemon answers.
 	unreachableSince time.Time
@@ -131,7 +131,24 @@
 	return isChanged
 }
 
-// LastDraining returns the latest backend server that a daemon reported as draining. It is kept when the daemon
+// RecordLeaving records that the backend server beside a daemon has stated in an answer that it leaves. It is no
+// candidate any more, even if its daemon, which may have restarted since, still reports it as ready.
+func (t *Table) RecordLeaving(address string, s Server) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.members[address]; ok && s.Born >= e.lastDraining.Born {
+		s.State = Draining
+		e.lastDraining = s
+	}
+}
+
+// hasLeft reports whether the backend server in the record of the daemon is known to drain or to have left.
+func (e *daemonState) hasLeft() bool {
+	s := e.record.Server
+	return s.State == Draining || s.ID == e.lastDraining.ID && s.Born <= e.lastDraining.Born
+}
+
+// LastDraining returns the latest backend server beside a daemon that is known to drain. It is kept when the daemon
 // restarts.
 func (t *Table) LastDraining(address string) Server {
 	t.mu.Lock()
@@ -194,7 +211,7 @@
 	for address, e := range t.members {
 		r := e.record
 		isUnreachable := !e.unreachableSince.IsZero()
-		if !e.isKnown || r.IsStopping && isUnreachable || r.Server.State != Ready || r.Server.Service != service {
+		if !e.isKnown || r.IsStopping && isUnreachable || r.Server.State != Ready || r.Server.Service != service || e.hasLeft() {
 			continue
 		}
 		found = append(found, Candidate{
--- /dev/null
+++ b/sidecar/member/table_test.go
@@ -0,0 +1,37 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinspar.example/sidecar/member"
+)
+
+var now = time.Unix(1000, 0)
+
+// record returns the record of a daemon at "d" with a ready backend server.
+func record(incarnation, born int64, sequence uint64) member.Record {
+	return member.Record{
+		Address: "d", Incarnation: incarnation, Sequence: sequence,
+		Server: member.Server{ID: "a", Service: "desk", State: member.Ready, Born: born},
+	}
+}
+
+// TestAServerThatLeavesIsNoCandidateAfterItsDaemonRestarts guards against requests to a backend server that has said in
+// an answer that it leaves, while its daemon does not know of it any more.
+func TestAServerThatLeavesIsNoCandidateAfterItsDaemonRestarts(t *testing.T) {
+	table := member.NewTable()
+	table.Update(now, record(1, 10, 1))
+	assert.Equal(t, len(table.Candidates(now, "desk")), 1)
+	table.RecordLeaving("d", table.Candidates(now, "desk")[0].Server)
+	assert.Equal(t, len(table.Candidates(now, "desk")), 0)
+	assert.Equal(t, table.LastDraining("d").ID, "a", "its daemon is told")
+	table.Update(now, record(2, 10, 1))
+	assert.Equal(t, len(table.Candidates(now, "desk")), 0, "the daemon has restarted")
+	table.RecordLeaving("d", member.Server{ID: "z", Born: 9})
+	assert.Equal(t, len(table.Candidates(now, "desk")), 0, "a late answer of an earlier server changes nothing")
+	table.Update(now, record(2, 11, 2))
+	assert.Equal(t, len(table.Candidates(now, "desk")), 1, "the same ID has started again")
+}
--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -98,6 +98,7 @@
 		return o.refusedReply(reason)
 	}
 	result := o.send(ctx, client, c)
+	o.applyNotice(client, c.Job.Server, result)
 	took := time.Since(arrived)
 	reply := o.completeCall(tc, c, result)
 	if reply.Outcome == message.Unknown && !reply.IsExpired && reply.Reason != ReasonWithdrawn {
--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -53,6 +53,8 @@
 	ForServer(q message.Request, server string, timeLeft time.Duration) http.Header
 	// IsNotRun reports whether an answer says that the request did not run.
 	IsNotRun(status int, h http.Header) bool
+	// Notice returns what the backend server states of itself in an answer.
+	Notice(status int, h http.Header) member.Notice
 }
 
 // Owner runs requests at the backend server beside the daemon and refuses those for which it has no slot in time. Its
