feat(owner): keep to the rate limit that a backend server states in its answers

What callers would see: a backend server in need gets more requests than it takes. Cause: Server-Limit was not read; the owner sent by slots alone. A grant that is not claimed gives its start back. A request that can't start in time is refused at once with a reason of its own; a load says how long the next start would take, and entries place by it. Only the owner sends to its server, so nothing has to be agreed.

--- a/sidecar/member/record.go
+++ b/sidecar/member/record.go
@@ -47,6 +47,12 @@
 type Notice struct {
 	// IsLeaving is true if the backend server drains or is about to stop.
 	IsLeaving bool
+	// IsLimited is true if the backend server states a limit of the requests that it takes.
+	IsLimited bool
+	// RateLimit is that limit in requests a second, from all daemons together.
+	RateLimit float64
+	// IsSilent is true if the answer says nothing of a limit that can be read; the limit stated last then holds.
+	IsSilent bool
 }
 
 // Load is the current load of a backend server. Daemons send it to each other; see package peer.
@@ -60,10 +66,12 @@
 	// Backlog is how long a large answer that was ready now would wait for the outgoing link of the instance, including
 	// the expected answers of the running requests.
 	Backlog time.Duration
+	// StartWait is how long the rate limit of the backend server would keep a further request from its start.
+	StartWait time.Duration
 }
 
-// IsFree reports whether the backend server has a free slot and no request waits for one.
-func (l Load) IsFree() bool { return l.Running < l.Slots && l.Waiting == 0 }
+// IsFree reports whether the backend server has a free slot, no request waits for one and its rate limit allows another.
+func (l Load) IsFree() bool { return l.Running < l.Slots && l.Waiting == 0 && l.StartWait == 0 }
 
 // Record is the state that a daemon reports of itself. Daemons send it to each other; see package peer.
 type Record struct {
--- a/sidecar/owner/drain.go
+++ b/sidecar/owner/drain.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"siskinspar.example/sidecar/member"
-	"siskinspar.example/sidecar/upstream"
 )
 
 // RecordDrain applies the report of another daemon that an incarnation of the backend server has announced its drain to
@@ -54,20 +53,6 @@
 	return true
 }
 
-// applyNotice applies what the backend server with an ID states of itself in an answer. One that leaves gets no further
-// request, whether it announces its drain or not. An answer over the connections of an earlier incarnation is ignored.
-func (o *Owner) applyNotice(from *upstream.Client, id string, r upstream.Result) {
-	if r.Outcome != upstream.Answered || !o.Headers.Notice(r.Answer.Status, r.Answer.Header).IsLeaving {
-		return
-	}
-	o.mu.Lock()
-	isCurrent := o.client == from
-	o.mu.Unlock()
-	if isCurrent {
-		o.Drain(id)
-	}
-}
-
 // Refuse makes the owner refuse all reservations and calls from now on, since this daemon is about to end. Requests that
 // wait are refused as well; those that have a slot run.
 func (o *Owner) Refuse() {
--- a/sidecar/owner/notice_test.go
+++ b/sidecar/owner/notice_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -53,3 +55,53 @@
 		})
 	}
 }
+
+// TestALimitInAnswersHoldsUntilTheServerStatesNone guards against more requests than a backend server in need takes.
+func TestALimitInAnswersHoldsUntilTheServerStatesNone(t *testing.T) {
+	s := newServer(t)
+	defer s.Close()
+	var stated atomic.Value
+	stated.Store("10")
+	s.answer = func(w http.ResponseWriter, _ *http.Request) {
+		s.runs.Add(1)
+		if text := stated.Load().(string); text != "" {
+			w.Header().Set("Server-Limit", text)
+		}
+	}
+	o := newOwner(t)
+	o.Announce(announcement(s, "a", 10, 5, member.Ready))
+	number := uint64(0)
+	send := func() message.Reply {
+		number++
+		return o.Call(call("one", "/", "a", route.Idempotent, number))
+	}
+	isFree := func() bool {
+		_, l := o.Server()
+		return l.IsFree()
+	}
+	assert.Assert(t, isFree())
+	assert.Equal(t, send().Outcome, message.Ran)
+	assert.Assert(t, !isFree(), "others are told that it takes none now")
+	const offered = 300
+	ran, began := 0, time.Now()
+	for range offered {
+		time.Sleep(time.Millisecond)
+		if send().Outcome == message.Ran {
+			ran++
+		}
+	}
+	assert.Assert(t, float64(ran) <= 1.5*10*time.Since(began).Seconds()+5, "%d ran in %v at a limit of 10", ran, time.Since(began))
+	// A value that can't be read leaves the limit as it is.
+	for _, text := range []string{"many", "-1", "NaN", "+Inf"} {
+		stated.Store(text)
+		for send().Outcome != message.Ran {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Assert(t, !isFree(), text)
+	}
+	stated.Store("")
+	for send().Outcome != message.Ran {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, isFree(), "the limit has ended")
+}
--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -97,6 +97,8 @@
 	failures         failures
 	refusals         refusals
 	lastCheck        crashCheck
+	// rateLimit is what the backend server stated last, in requests a second, or slot.Unlimited.
+	rateLimit float64
 	// unmatchedDrain is a drain of which this daemon has learned without the announcement of the server: from a drain
 	// call with an ID that it does not know, or from the report of another daemon. It is needed after a restart of this
 	// daemon. All incarnations of the server with this ID that started at Born or before count as draining. Only ID and
@@ -192,9 +194,10 @@
 
 // load returns the current load; the caller holds the lock.
 func (o *Owner) load() member.Load {
+	now := time.Now()
 	return member.Load{
 		Running: o.slots.Running(), Waiting: o.slots.Waiting(), Slots: o.slots.Slots(),
-		Failing: o.failures.share(time.Now()), Backlog: o.slots.Backlog(time.Now()),
+		Failing: o.failures.share(now), Backlog: o.slots.Backlog(now), StartWait: o.slots.StartWait(now),
 	}
 }
 
@@ -256,6 +259,7 @@
 		o.client.Close()
 	}
 	o.failures = failures{}
+	o.rateLimit = slot.Unlimited
 	o.client = &upstream.Client{
 		Address: s.Address, MaximumConnections: o.MaximumConnections(s.Service), IDHeader: o.Headers.IDHeader(), OnDial: o.OnDial,
 		MaximumBodySize: o.MaximumAnswerSize, Memory: o.Memory,
--- a/sidecar/placement/placer.go
+++ b/sidecar/placement/placer.go
@@ -164,9 +164,9 @@
 }
 
 // expectedWait estimates the wait for a slot at a backend server from its load per slot and its relative time, and adds
-// the delay of the transfer. It only serves to compare backend servers.
+// the wait for its rate limit and the delay of the transfer. It only serves to compare backend servers.
 func (p *Placer) expectedWait(c member.Candidate, t Transfer) time.Duration {
-	return time.Duration(float64(t.answerTime())*loadPerSlot(c)*p.relativeTimeOf(c.Server.ID, t)) + t.delay(p, c)
+	return time.Duration(float64(t.answerTime())*loadPerSlot(c)*p.relativeTimeOf(c.Server.ID, t)) + c.Load.StartWait + t.delay(p, c)
 }
 
 // loadPerSlot returns the running and waiting requests of a backend server for each slot. An old load is replaced by
--- a/sidecar/slot/controller.go
+++ b/sidecar/slot/controller.go
@@ -44,7 +44,9 @@
 	// without samples counts as 0 and not as defaultServiceTime.
 	sendTimes estimates
 	// claims estimates how many of the granted slots are used.
-	claims     claims
+	claims claims
+	// starts bounds how many jobs start in a second.
+	starts     starts
 	lastTicket Ticket
 }
 
@@ -59,6 +61,12 @@
 // Slots returns the number of jobs that may run at once.
 func (c *Controller) Slots() int { return c.slots }
 
+// SetRate changes how many jobs may start in a second; Unlimited removes the limit.
+func (c *Controller) SetRate(now time.Time, perSecond float64) { c.starts.setRate(now, perSecond) }
+
+// StartWait returns how long the limit of SetRate would keep a job that arrived now from its start.
+func (c *Controller) StartWait(now time.Time) time.Duration { return c.starts.wait(now, 0) }
+
 // Running returns the number of jobs that have a slot, including granted slots that are not claimed yet.
 func (c *Controller) Running() int { return len(c.running) }
 
@@ -95,19 +103,20 @@
 	c.serviceTimes = estimates{}
 	c.sendTimes = estimates{}
 	c.claims = claims{}
+	c.starts = starts{}
 	return changes
 }
 
-// Arrive decides on a new job: it runs at once if a slot and the link are free and no queued job can take the slot;
-// otherwise it is queued or refused. A job that may not wait is never queued. The ticket is 0 and the reason is set
-// only for a refused job.
+// Arrive decides on a new job: it runs at once if a slot and the link are free, the rate limit allows it and no queued
+// job can take the slot; otherwise it is queued or refused. A job that may not wait is never queued. The ticket is 0 and
+// the reason is set only for a refused job.
 func (c *Controller) Arrive(now time.Time, j Job, mayWait bool) (Ticket, Decision, Reason) {
 	if c.isDraining {
 		return 0, Refuse, ReasonDraining
 	}
 	c.lastTicket++
 	j = c.reserveSendTime(now, j)
-	if c.hasFreeSlot() && c.hasLinkCapacity(now, j) && c.nextQueued(now) < 0 {
+	if c.hasFreeSlot() && c.hasLinkCapacity(now, j) && c.nextQueued(now) < 0 && c.starts.take(now) {
 		c.running[c.lastTicket] = &runningJob{job: j, started: now}
 		return c.lastTicket, Run, ""
 	}
@@ -120,6 +129,9 @@
 	if c.isWaitTooLong(now, j, c.linkWait(now, j)) {
 		return 0, Refuse, ReasonLinkWaitTooLong
 	}
+	if c.isWaitTooLong(now, j, c.startWait(now, j)) {
+		return 0, Refuse, ReasonRateWaitTooLong
+	}
 	c.queue = append(c.queue, queuedJob{ticket: c.lastTicket, job: j, arrived: now})
 	return c.lastTicket, Wait, ""
 }
@@ -173,6 +185,17 @@
 	return time.Duration(ahead / float64(max((c.slots+1)/2, c.slots-urgent)))
 }
 
+// startWait returns how long the rate limit would keep a new job from its start, after the queued jobs that go first.
+func (c *Controller) startWait(now time.Time, j Job) time.Duration {
+	ahead := 0.0
+	for _, q := range c.queue {
+		if compareJobs(now, c.serviceTimes, q.job, j) <= 0 {
+			ahead += q.job.Share
+		}
+	}
+	return c.starts.wait(now, ahead)
+}
+
 // Grant marks the slot that a job got as granted to a reservation, whose call is still to arrive: the grant expires
 // unless Claim is called before the deadline.
 func (c *Controller) Grant(t Ticket, claimDeadline time.Time) {
@@ -210,10 +233,11 @@
 	return taken <= float64(c.slots-1) && float64(len(c.running)) < maximumOvercommit*float64(c.slots)
 }
 
-// remove frees the slot of a job.
+// remove frees the slot of a job. The start of one whose grant was never claimed does not count for the rate limit.
 func (c *Controller) remove(t Ticket) {
 	if r, ok := c.running[t]; ok && !r.claimDeadline.IsZero() {
 		c.claims.record(false)
+		c.starts.giveBack()
 	}
 	delete(c.running, t)
 }
@@ -245,7 +269,7 @@
 	changes := c.removeOverdue(now)
 	for c.hasFreeSlot() {
 		next := c.nextQueued(now)
-		if next < 0 {
+		if next < 0 || !c.starts.take(now) {
 			break
 		}
 		q := c.queue[next]
--- a/sidecar/slot/job.go
+++ b/sidecar/slot/job.go
@@ -62,6 +62,8 @@
 	ReasonWaitTooLong Reason = "would wait too long"
 	// ReasonLinkWaitTooLong means that the expected wait for the link alone was too long when the job arrived.
 	ReasonLinkWaitTooLong Reason = "would wait too long for the link"
+	// ReasonRateWaitTooLong means that the expected wait for the rate limit alone was too long when the job arrived.
+	ReasonRateWaitTooLong Reason = "would wait too long for the rate limit"
 	// ReasonWaitedTooLong means that the job was removed from the queue after too long a wait.
 	ReasonWaitedTooLong Reason = "waited too long"
 	// ReasonLinkWaitedTooLong means the same for a job that the link still kept from a slot.
