feat(owner): hold a backend server's rate limit over a restart of the daemon

Cause: a daemon that restarts knows no limit until its first answer, and lets as many requests start as there are slots; the requests of other machines are not excused by that restart. With a limit of 2 a second, 17 requests are allowed in 4 s, and a burst of 10 beside the usual 8 is more. Change: records carry the limit; daemons tell one that has restarted which limit it reported before, for ten seconds. It holds until the first answer of the same incarnation of the server. The same way drains are told already.

--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -57,7 +57,7 @@
 func (s *Sidecar) Probe(to string) message.Probe {
 	return message.Probe{
 		Record: s.record(), Version: s.configuration.Version(), Known: s.members.Len(),
-		Crashes: s.quarantine.Recent(time.Now()), Left: s.members.LastDraining(to), ClientRoutes: s.entry.ClientRoutes(),
+		Crashes: s.quarantine.Recent(time.Now()), Left: s.members.LastDraining(to), Limited: s.members.PreviousLimit(time.Now(), to), ClientRoutes: s.entry.ClientRoutes(),
 	}
 }
 
@@ -78,4 +78,7 @@
 	if p.Left.ID != "" {
 		s.owner.RecordDrain(p.Left)
 	}
+	if p.Limited.ID != "" {
+		s.owner.RecordLimit(p.Limited)
+	}
 }
--- a/sidecar/member/record.go
+++ b/sidecar/member/record.go
@@ -41,6 +41,9 @@
 	// Cold is how much longer the backend server expects to be slow after its start, as stated in its announcement and
 	// counted from it. The daemons pass it on, and decide nothing by it.
 	Cold time.Duration
+	// RateLimit is the requests a second that the backend server states in its answers that it takes, from all daemons
+	// together, or 0 if it states none.
+	RateLimit float64
 }
 
 // Notice is what a backend server states of itself in an answer to a request.
--- a/sidecar/member/table.go
+++ b/sidecar/member/table.go
@@ -20,6 +20,11 @@
 	lastReport time.Time
 	// lastDraining is the latest backend server that the daemon reported as draining, or that stated itself that it leaves.
 	lastDraining Server
+	// limited is the latest backend server that the daemon reported with a rate limit, limitedBy the incarnation of the
+	// daemon that did so, and limitedAt when. The server is empty once the same incarnation reports no limit.
+	limited   Server
+	limitedBy int64
+	limitedAt time.Time
 	// unreachableSince is when the daemon first failed to answer; it is zero while the daemon answers.
 	unreachableSince time.Time
 }
@@ -128,9 +133,35 @@
 	if r.Server.State == Draining {
 		e.lastDraining = r.Server
 	}
+	e.recordLimit(now, r)
 	return isChanged
 }
 
+// recordLimit stores the rate limit in a record.
+func (e *daemonState) recordLimit(now time.Time, r Record) {
+	switch {
+	case r.Server.RateLimit > 0:
+		e.limited, e.limitedBy, e.limitedAt = r.Server, r.Incarnation, now
+	case r.Incarnation == e.limitedBy:
+		e.limited = Server{}
+	}
+}
+
+// limitLifetime is how long a daemon that has restarted is told of the rate limit that it reported before.
+const limitLifetime = 10 * time.Second
+
+// PreviousLimit returns the backend server with the rate limit that a daemon last reported before it restarted, or an
+// empty one.
+func (t *Table) PreviousLimit(now time.Time, address string) Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.members[address]
+	if !ok || e.limitedBy == e.record.Incarnation || now.Sub(e.limitedAt) > limitLifetime {
+		return Server{}
+	}
+	return e.limited
+}
+
 // RecordLeaving records that the backend server beside a daemon has stated in an answer that it leaves. It is no
 // candidate any more, even if its daemon, which may have restarted since, still reports it as ready.
 func (t *Table) RecordLeaving(address string, s Server) {
--- a/sidecar/member/table_test.go
+++ b/sidecar/member/table_test.go
@@ -35,3 +35,27 @@
 	table.Update(now, record(2, 11, 2))
 	assert.Equal(t, len(table.Candidates(now, "desk")), 1, "the same ID has started again")
 }
+
+func TestADaemonIsToldOfTheLimitThatItReportedBeforeItRestarted(t *testing.T) {
+	limited := record(1, 10, 1)
+	limited.Server.RateLimit = 5
+	for _, c := range []struct {
+		name  string
+		then  []member.Record
+		after time.Duration
+		limit float64
+	}{
+		{"no restart", nil, 0, 0},
+		{"restarted", []member.Record{record(2, 10, 1)}, 0, 5},
+		{"restarted twice", []member.Record{record(2, 10, 1), record(3, 10, 1)}, 0, 5},
+		{"the limit ended before the restart", []member.Record{record(1, 10, 2), record(2, 10, 1)}, 0, 0},
+		{"long ago", []member.Record{record(2, 10, 1)}, time.Minute, 0},
+	} {
+		table := member.NewTable()
+		table.Update(now, limited)
+		for _, r := range c.then {
+			table.Update(now, r)
+		}
+		assert.Equal(t, table.PreviousLimit(now.Add(c.after), "d").RateLimit, c.limit, c.name)
+	}
+}
--- a/sidecar/message/message.go
+++ b/sidecar/message/message.go
@@ -144,6 +144,9 @@
 	// Left is the latest backend server beside the receiver that the receiver reported as draining to the sender. The
 	// receiver needs it since a restarted daemon does not know of the drains that it acknowledged before.
 	Left member.Server
+	// Limited is the backend server beside the receiver with the rate limit that the receiver last reported before it
+	// restarted. The receiver does not know of the limit until it gets an answer.
+	Limited member.Server
 }
 
 // Crash reports that a backend server ended while it ran a request or, with an empty Instance, that a suspected request
--- a/sidecar/owner/notice.go
+++ b/sidecar/owner/notice.go
@@ -19,7 +19,8 @@
 	o.mu.Lock()
 	isCurrent := o.client == from
 	if isCurrent && !n.IsSilent {
-		o.applyRateLimit(n)
+		o.hasNotice = true
+		o.setRateLimit(statedLimit(n))
 	}
 	o.mu.Unlock()
 	if isCurrent && n.IsLeaving {
@@ -27,13 +28,34 @@
 	}
 }
 
-// applyRateLimit bounds the requests to the backend server by the limit that it states, or no more if it states none.
-// The caller holds the lock.
-func (o *Owner) applyRateLimit(n member.Notice) {
-	limit := slot.Unlimited
-	if n.IsLimited {
-		limit = n.RateLimit
+// statedLimit returns the rate limit that a backend server states, or slot.Unlimited.
+func statedLimit(n member.Notice) float64 {
+	if !n.IsLimited {
+		return slot.Unlimited
 	}
+	return max(slot.MinimumRate, n.RateLimit)
+}
+
+// RecordLimit applies the report of another daemon that this one has reported a rate limit of its backend server before
+// it restarted. It holds until the first answer of that incarnation of the server.
+func (o *Owner) RecordLimit(s member.Server) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.previousLimit = s
+	o.applyPreviousLimit()
+}
+
+// applyPreviousLimit applies previousLimit if it is of the present incarnation of the backend server, which has not
+// answered yet. The caller holds the lock.
+func (o *Owner) applyPreviousLimit() {
+	p := o.previousLimit
+	if p.RateLimit > 0 && !o.hasNotice && o.server.ID == p.ID && o.server.Born == p.Born {
+		o.setRateLimit(p.RateLimit)
+	}
+}
+
+// setRateLimit bounds the requests to the backend server; the caller holds the lock.
+func (o *Owner) setRateLimit(limit float64) {
 	if limit == o.rateLimit {
 		return
 	}
--- a/sidecar/owner/notice_test.go
+++ b/sidecar/owner/notice_test.go
@@ -10,6 +10,7 @@
 
 	"siskinspar.example/sidecar/member"
 	"siskinspar.example/sidecar/message"
+	"siskinspar.example/sidecar/owner"
 	"siskinspar.example/sidecar/route"
 )
 
@@ -105,3 +106,53 @@
 	}
 	assert.Assert(t, isFree(), "the limit has ended")
 }
+
+// TestALimitHoldsOverARestartOfTheDaemon guards against a burst of requests to a backend server in need from a daemon
+// that has restarted and not had an answer yet.
+func TestALimitHoldsOverARestartOfTheDaemon(t *testing.T) {
+	limited := func(s *server, born int64) member.Server {
+		a := announcement(s, "a", born, 5, member.Ready)
+		a.RateLimit = 1
+		return a
+	}
+	for _, c := range []struct {
+		name  string
+		then  func(o *owner.Owner, s *server)
+		limit float64
+	}{
+		{"told before the announcement", func(o *owner.Owner, s *server) {
+			o.RecordLimit(limited(s, 10))
+			o.Announce(announcement(s, "a", 10, 6, member.Ready))
+		}, 1},
+		{"told after the announcement", func(o *owner.Owner, s *server) {
+			o.Announce(announcement(s, "a", 10, 6, member.Ready))
+			o.RecordLimit(limited(s, 10))
+		}, 1},
+		{"told after an answer without a limit", func(o *owner.Owner, s *server) {
+			o.Announce(announcement(s, "a", 10, 6, member.Ready))
+			o.Call(call("one", "/", "a", route.Idempotent, 1))
+			o.RecordLimit(limited(s, 10))
+		}, 0},
+		{"another incarnation", func(o *owner.Owner, s *server) {
+			o.RecordLimit(limited(s, 10))
+			o.Announce(announcement(s, "a", 11, 1, member.Ready))
+		}, 0},
+		{"an answer without a limit", func(o *owner.Owner, s *server) {
+			o.RecordLimit(limited(s, 10))
+			o.Announce(announcement(s, "a", 10, 6, member.Ready))
+			for number := uint64(1); o.Call(call("one", "/", "a", route.Idempotent, number)).Outcome != message.Ran; number++ {
+				time.Sleep(time.Millisecond)
+			}
+		}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newServer(t)
+			defer s.Close()
+			o := newOwner(t)
+			c.then(o, s)
+			found, load := o.Server()
+			assert.Equal(t, found.RateLimit, c.limit)
+			assert.Equal(t, load.StartWait > 0, c.limit > 0)
+		})
+	}
+}
--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -97,8 +98,12 @@
 	failures         failures
 	refusals         refusals
 	lastCheck        crashCheck
-	// rateLimit is what the backend server stated last, in requests a second, or slot.Unlimited.
+	// rateLimit is what the backend server stated last, in requests a second, or slot.Unlimited. It is known from an
+	// answer if hasNotice is true.
 	rateLimit float64
+	hasNotice bool
+	// previousLimit is the backend server with the rate limit that this daemon reported before it restarted.
+	previousLimit member.Server
 	// unmatchedDrain is a drain of which this daemon has learned without the announcement of the server: from a drain
 	// call with an ID that it does not know, or from the report of another daemon. It is needed after a restart of this
 	// daemon. All incarnations of the server with this ID that started at Born or before count as draining. Only ID and
@@ -189,6 +194,9 @@
 	if s.State == member.Ready && time.Now().Before(o.unreachableUntil) {
 		s.State = member.Absent
 	}
+	if !math.IsInf(o.rateLimit, 1) {
+		s.RateLimit = o.rateLimit
+	}
 	return s, o.load()
 }
 
@@ -260,11 +268,13 @@
 	}
 	o.failures = failures{}
 	o.rateLimit = slot.Unlimited
+	o.hasNotice = false
 	o.client = &upstream.Client{
 		Address: s.Address, MaximumConnections: o.MaximumConnections(s.Service), IDHeader: o.Headers.IDHeader(), OnDial: o.OnDial,
 		MaximumBodySize: o.MaximumAnswerSize, Memory: o.Memory,
 	}
 	o.server = s
+	o.applyPreviousLimit()
 }
 
 // notify passes the status changes of jobs to the waiting requests. A slot that was granted to a request which
--- a/sidecar/slot/rate.go
+++ b/sidecar/slot/rate.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// minimumRate is the rate in jobs a second at which jobs start under a limit below it: without any answer a backend
+	// MinimumRate is the rate in jobs a second at which jobs start under a limit below it: without any answer a backend
 	// server could not say that its limit has ended.
-	minimumRate = 0.5
+	MinimumRate = 0.5
 	// rateBurst is the time whose jobs may start at once after a pause, besides one.
 	rateBurst = 250 * time.Millisecond
 )
@@ -31,7 +31,7 @@
 		*s = starts{}
 		return
 	}
-	perSecond = max(minimumRate, perSecond)
+	perSecond = max(MinimumRate, perSecond)
 	burst := 1 + int(perSecond*rateBurst.Seconds())
 	if s.limiter == nil {
 		s.limiter = rate.NewLimiter(rate.Limit(perSecond), burst)
