test: take loopback addresses from a network that the process has claimed

Change: package standin/loopback. A process claims a network of 127.0.0.0/8 with a listener that it keeps, and gives each host out once; the kernel binds outgoing connections to 127.0.0.1, so none takes a port there. Used by the tests of sidecar and its packages, the mesh in one process (and so the demo), cmd/integration, the soak and the measurements of capacity. Listeners that are opened on 127.0.0.1:0 and kept stay as they are. Evidence: TestProcessesAtOnceHaveDifferentAddresses, TestEachAddressIsGivenOnceAndIsFree.

--- a/capacity/slope/process_test.go
+++ b/capacity/slope/process_test.go
@@ -18,6 +18,7 @@
 	"siskinspar.example/capacity/slope"
 	"siskinspar.example/daemon/peer"
 	"siskinspar.example/distribution"
+	"siskinspar.example/standin/loopback"
 	"siskinspar.example/standin/platform"
 	"siskinspar.example/versionlog"
 )
@@ -35,7 +36,8 @@
 	}
 }
 
-// processSettings is the settings file of a daemon: platform address, IP number of the daemon and data centre.
+// processSettings is the settings file of a daemon: platform address, IP number of the daemon, data centre and IP number
+// of the first daemon.
 const processSettings = `
 [instance]
 name = measured-%[2]s
@@ -44,7 +46,7 @@
 listen = %[2]s:7001
 [peers]
 listen = %[2]s:7002
-seeds = 127.0.99.1:7002
+seeds = %[4]s:7002
 key = measured-key
 [operators]
 listen = %[2]s:7003
@@ -70,10 +72,14 @@
 	store := httptest.NewServer(&platform.Server{})
 	b.Cleanup(store.Close)
 	var processes []process
+	seed := loopback.Host()
 	for i := range count {
-		p := process{host: fmt.Sprintf("127.0.99.%d", i+1)}
+		p := process{host: seed}
+		if i > 0 {
+			p.host = loopback.Host()
+		}
 		path := filepath.Join(directory, p.host+".ini")
-		assert.NilError(b, os.WriteFile(path, fmt.Appendf(nil, processSettings, strings.TrimPrefix(store.URL, "http://"), p.host, string(rune('a'+i%3))), 0o600))
+		assert.NilError(b, os.WriteFile(path, fmt.Appendf(nil, processSettings, strings.TrimPrefix(store.URL, "http://"), p.host, string(rune('a'+i%3)), seed), 0o600))
 		p.command = exec.Command(binary, "daemon", "--settings", path)
 		assert.NilError(b, p.command.Start())
 		b.Cleanup(func() {
--- a/cmd/integration/harness_test.go
+++ b/cmd/integration/harness_test.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -22,6 +21,7 @@
 
 	"siskinspar.example/daemon/operatorapi"
 	"siskinspar.example/declaration"
+	"siskinspar.example/standin/loopback"
 	"siskinspar.example/standin/platform"
 )
 
@@ -120,9 +120,6 @@
 // mesh is a platform stand-in with daemons and backend servers, each running as a separate process.
 type mesh struct {
 	t testing.TB
-	// subnet and lastHost are the third and fourth octet of the last loopback address in use.
-	subnet   int
-	lastHost int
 	// platformAddress is the address of the platform stand-in, which holds the store.
 	platformAddress string
 	httpClient      *http.Client
@@ -140,28 +137,16 @@
 	settingsPath string
 }
 
-// subnets counts the meshes of this test binary, each of which gets the next subnet.
-var subnets atomic.Int32
-
-// newMesh starts a platform stand-in. Each mesh uses its own loopback subnet, so that the fixed ports never clash.
+// newMesh starts a platform stand-in. Each process of the mesh uses a loopback host of its own, so that the fixed ports
+// never clash.
 func newMesh(t testing.TB) *mesh {
 	t.Helper()
-	m := &mesh{t: t, subnet: int(subnets.Add(1)), httpClient: &http.Client{Timeout: waitTimeout}}
-	m.platformAddress = m.nextHost() + ":7900"
+	m := &mesh{t: t, httpClient: &http.Client{Timeout: waitTimeout}}
+	m.platformAddress = loopback.Host() + ":7900"
 	start(t, "standin", "platform", "--listen", m.platformAddress)
 	return m
 }
 
-// nextHost returns an unused loopback address.
-func (m *mesh) nextHost() string {
-	m.lastHost++
-	return fmt.Sprintf("127.%d.%d.%d", 100+m.pidOffset(), m.subnet, m.lastHost)
-}
-
-// pidOffset is added to the second octet of each loopback address, so that test binaries that run at the same time use
-// different networks, unless the last two digits of their process IDs are equal.
-func (m *mesh) pidOffset() int { return os.Getpid() % 100 }
-
 // instanceTemplate is the settings file of a daemon. Its short intervals let the daemons detect failures quickly.
 const instanceTemplate = `
 [instance]
@@ -194,7 +179,13 @@
 // peer listener when advertised is empty.
 func (m *mesh) addDaemon(name, centre, advertised string) *instance {
 	m.t.Helper()
-	i := &instance{mesh: m, name: name, host: m.nextHost()}
+	return m.addDaemonAt(loopback.Host(), name, centre, advertised)
+}
+
+// addDaemonAt does the same on a host.
+func (m *mesh) addDaemonAt(host, name, centre, advertised string) *instance {
+	m.t.Helper()
+	i := &instance{mesh: m, name: name, host: host}
 	if advertised == "" {
 		advertised = i.host + ":7002"
 	}
--- a/cmd/integration/network_test.go
+++ b/cmd/integration/network_test.go
@@ -12,20 +12,21 @@
 	"siskinspar.example/daemon/operatorapi"
 	"siskinspar.example/declaration"
 	"siskinspar.example/request/outcome"
+	"siskinspar.example/standin/loopback"
 )
 
 // addProxiedDaemon starts a daemon whose peers reach it only through a fault-injecting proxy. The proxy listens on the
-// address that addDaemon takes next, at another port.
+// host of the daemon, at another port.
 func (m *mesh) addProxiedDaemon(name, centre string) (*instance, *toxiproxy.Proxy) {
 	m.t.Helper()
-	host := fmt.Sprintf("127.%d.%d.%d", 100+m.pidOffset(), m.subnet, m.lastHost+1)
+	host := loopback.Host()
 	proxy := toxiproxy.NewProxy()
 	proxy.Name = name
 	proxy.Listen = host + ":7102"
 	proxy.Upstream = host + ":7002"
 	assert.NilError(m.t, proxy.Start())
 	m.t.Cleanup(proxy.Stop)
-	return m.addDaemon(name, centre, host+":7102"), proxy
+	return m.addDaemonAt(host, name, centre, host+":7102"), proxy
 }
 
 // addToxic adds a network fault, given in the JSON of toxiproxy, to the proxy.
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
+	"siskinspar.example/standin/loopback"
 	"siskinspar.example/standin/platform"
 )
 
@@ -196,11 +197,11 @@
 // startInstance starts the proxies, the daemon and the backend server of the n-th instance.
 func (s *Soak) startInstance(n int) error {
 	i := &instance{
-		name: fmt.Sprintf("i%d", n), zone: fmt.Sprintf("zone-%d", n%3), service: "desk", host: fmt.Sprintf("127.0.%d.%d", 100+n/200, 1+n%200),
+		name: fmt.Sprintf("i%d", n), zone: fmt.Sprintf("zone-%d", n%3), service: "desk", host: loopback.Host(),
 		directory: s.Directory, binary: s.Binary,
 	}
 	var err error
-	if i.toStore, err = newProxy("store", i.address(portToStore), storeAddress); err != nil {
+	if i.toStore, err = newProxy("store", i.address(portToStore), storeAddress()); err != nil {
 		return err
 	}
 	if i.toServer, err = newProxy("server", i.address(portToServer), i.address(portServer)); err != nil {
--- a/cmd/soak/store.go
+++ b/cmd/soak/store.go
@@ -4,14 +4,16 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 
 	"github.com/rotisserie/eris"
 
+	"siskinspar.example/standin/loopback"
 	"siskinspar.example/standin/platform"
 )
 
-// storeAddress is the address of the stand-in for the store; the proxies of all instances lead to it.
-const storeAddress = "127.0.99.200:7818"
+// storeAddress returns the address of the stand-in for the store; the proxies of all instances lead to it.
+var storeAddress = sync.OnceValue(loopback.Address)
 
 // configurationTemplate is the configuration that putConfiguration formats with a version and a timeout in seconds.
 const configurationTemplate = `{"version":"%08x","services":[{"name":"desk","healthCheckPath":"/healthz","maxConnections":60}],` +
@@ -23,7 +25,7 @@
 // startStore starts the stand-in for the store.
 func (s *Soak) startStore() error {
 	s.store = &platform.Server{}
-	l, err := net.Listen("tcp", storeAddress)
+	l, err := net.Listen("tcp", storeAddress())
 	if err != nil {
 		return eris.Wrap(err, "listen for the store stand-in")
 	}
--- a/sidecar/discovery/prober_test.go
+++ b/sidecar/discovery/prober_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +16,7 @@
 	"siskinspar.example/sidecar/message"
 	"siskinspar.example/sidecar/peer"
 	"siskinspar.example/sidecar/route"
+	"siskinspar.example/standin/loopback"
 )
 
 // otherDaemon is a daemon that holds its reply to the first probe until release is closed.
@@ -62,10 +62,7 @@
 // A drain that is announced while a probe is on its way must not wait for the next round that reaches the daemon.
 func TestAChangeDuringAProbeIsTold(t *testing.T) {
 	// In the order of addresses the daemon comes after all others, of which none runs, so that no round reaches it soon.
-	l, err := net.Listen("tcp", "127.9.9.9:0")
-	assert.NilError(t, err)
-	address := l.Addr().String()
-	assert.NilError(t, l.Close())
+	address := loopback.Address()
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	other := &otherDaemon{received: make(chan message.Probe, 100), release: make(chan struct{})}
 	server := &peer.Server{Address: address, Service: other, Logger: logger}
@@ -74,7 +71,7 @@
 	members := member.NewTable()
 	members.Add(address, "a")
 	for i := range 600 {
-		members.Add(fmt.Sprintf("127.1.%d.%d:1", i/200, i%200+1), "b")
+		members.Add(fmt.Sprintf("127.0.%d.%d:1", i/200, i%200+1), "b")
 	}
 	state := &ownState{}
 	p := &discovery.Prober{
--- a/sidecar/ingress/server_test.go
+++ b/sidecar/ingress/server_test.go
@@ -16,6 +16,7 @@
 
 	"siskinspar.example/sidecar/ingress"
 	"siskinspar.example/sidecar/memory"
+	"siskinspar.example/standin/loopback"
 )
 
 // handler echoes the method, the path and the body of each request. Requests to /wait are answered once release is
@@ -58,10 +59,7 @@
 // startWithMemory does the same as start with a budget for the bodies of requests.
 func startWithMemory(t *testing.T, m *memory.Budget) (*ingress.Server, *handler, string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	address := l.Addr().String()
-	assert.NilError(t, l.Close())
+	address := loopback.Address()
 	h := &handler{release: make(chan struct{}), started: make(chan string, 64), disconnected: make(chan struct{}), refused: make(chan int, 64)}
 	s := &ingress.Server{
 		Address: address, Handler: h, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Memory: m,
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -24,6 +23,7 @@
 	"siskinspar.example/sidecar/placement"
 	"siskinspar.example/sidecar/settings"
 	"siskinspar.example/standin/application"
+	"siskinspar.example/standin/loopback"
 	"siskinspar.example/standin/platform"
 )
 
@@ -77,29 +77,20 @@
 	d.store.PutAsOperator("op", "config", fmt.Appendf(nil, document, version, service))
 }
 
-// freeAddress returns a loopback address whose port was free just now.
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // add starts an instance with a daemon and a backend server of a service. The ID of the server is "server-" and the
 // number of the instance, from 0.
 func (d *deployment) add(service string) *instance {
 	d.t.Helper()
 	i := &instance{settings: &settings.Settings{
 		Instance: fmt.Sprint(len(d.instances)), DataCentre: "zone", Service: service, Store: d.storeAddr, Grace: 4 * time.Second,
-		Clients: freeAddress(d.t), Daemons: freeAddress(d.t), Readiness: freeAddress(d.t), Announcements: freeAddress(d.t),
+		Clients: loopback.Address(), Daemons: loopback.Address(), Readiness: loopback.Address(), Announcements: loopback.Address(),
 		RetryAllowance: placement.RetryAllowance{Ratio: 0.2, Slack: 60, Window: 10 * time.Second},
 	}}
 	assert.Equal(d.t, len(i.settings.Check()), 0)
 	d.instances = append(d.instances, i)
 	d.start(i)
 	i.server = &application.Server{
-		ID: "server-" + i.settings.Instance, Service: service, Address: freeAddress(d.t), DaemonAddress: i.settings.Announcements,
+		ID: "server-" + i.settings.Instance, Service: service, Address: loopback.Address(), DaemonAddress: i.settings.Announcements,
 		DataCentre: "zone", Slots: 4, ProcessingTime: time.Millisecond, Heartbeat: 50 * time.Millisecond, Observer: d,
 	}
 	assert.NilError(d.t, i.server.Start())
--- a/sidecar/peer/connection_test.go
+++ b/sidecar/peer/connection_test.go
@@ -14,6 +14,7 @@
 	"siskinspar.example/sidecar/bandwidth"
 	"siskinspar.example/sidecar/memory"
 	"siskinspar.example/sidecar/peer"
+	"siskinspar.example/standin/loopback"
 )
 
 // echoService returns what it gets.
@@ -48,10 +49,7 @@
 }
 
 func TestACallToNobodyIsNotSent(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	assert.NilError(t, l.Close())
-	c := &peer.Connection{Address: l.Addr().String()}
+	c := &peer.Connection{Address: loopback.Address()}
 	assert.ErrorIs(t, c.Call(t.Context(), peer.ServiceName+".Echo", "", new(string)), peer.ErrNotSent)
 }
 
--- a/sidecar/peer/server_test.go
+++ b/sidecar/peer/server_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"log/slog"
-	"net"
 	"testing"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	"siskinspar.example/sidecar/memory"
 	"siskinspar.example/sidecar/peer"
+	"siskinspar.example/standin/loopback"
 )
 
 // slowService has one method, which replies once release is closed.
@@ -26,10 +26,7 @@
 // startServer runs a server of the service with a memory budget, and returns it with its address.
 func startServer(t testing.TB, service any, m *memory.Budget) (*peer.Server, string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	address := l.Addr().String()
-	assert.NilError(t, l.Close())
+	address := loopback.Address()
 	s := &peer.Server{Address: address, Service: service, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Memory: m}
 	assert.NilError(t, s.Run())
 	return s, address
--- a/sidecar/upstream/client_test.go
+++ b/sidecar/upstream/client_test.go
@@ -17,6 +17,7 @@
 
 	"siskinspar.example/sidecar/message"
 	"siskinspar.example/sidecar/upstream"
+	"siskinspar.example/standin/loopback"
 )
 
 // serve starts a server that answers the requests of each connection with the texts that script returns, in order. In a
@@ -206,20 +207,16 @@
 }
 
 func TestSendReportsRefusedConnection(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	address := l.Addr().String()
-	assert.NilError(t, l.Close())
-	result := send(&upstream.Client{Address: address, IDHeader: "Request-Id"}, "one")
+	result := send(&upstream.Client{Address: loopback.Address(), IDHeader: "Request-Id"}, "one")
 	assert.Equal(t, result.Outcome, upstream.NotSent)
 	assert.Assert(t, result.IsRefused)
 }
 
 func TestIsNotListeningDetectsServerThatIsExiting(t *testing.T) {
 	for _, isEnding := range []bool{true, false} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address := loopback.Address()
+		l, err := net.Listen("tcp", address)
 		assert.NilError(t, err)
-		address := l.Addr().String()
 		go func() {
 			// A process that exits resets a connection that was already set up.
 			c, err := l.Accept()
--- a/standin/mesh/identity_test.go
+++ b/standin/mesh/identity_test.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -28,7 +29,7 @@
 	"siskinspar.example/versionlog"
 )
 
-// authority is a certificate authority that issues certificates for 127.0.0.1.
+// authority is a certificate authority that issues certificates for daemons.
 type authority struct {
 	t           *testing.T
 	directory   string
@@ -61,12 +62,14 @@
 	return path
 }
 
-// issue writes a certificate and its private key and returns the paths of both files.
-func (a *authority) issue() (string, string) {
+// issue writes a certificate for an address and its private key, and returns the paths of both files.
+func (a *authority) issue(address string) (string, string) {
+	listen, err := netip.ParseAddrPort(address)
+	assert.NilError(a.t, err)
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	assert.NilError(a.t, err)
 	template := &x509.Certificate{
-		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "daemon"}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "daemon"}, IPAddresses: []net.IP{listen.Addr().AsSlice()},
 		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
 		KeyUsage: x509.KeyUsageDigitalSignature, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
@@ -80,7 +83,7 @@
 // configure makes a daemon authenticate its peers by certificate instead of the shared key.
 func (a *authority) configure(p *settings.Peers) {
 	p.Key = ""
-	p.Certificate, p.PrivateKey = a.issue()
+	p.Certificate, p.PrivateKey = a.issue(p.Listen)
 	p.Authority = filepath.Join(a.directory, "authority.pem")
 }
 
@@ -123,7 +126,7 @@
 // untrustedConfig returns a TLS configuration with a certificate of an authority that the daemons do not trust.
 func untrustedConfig(t *testing.T) *tls.Config {
 	t.Helper()
-	certificate, key := newAuthority(t).issue()
+	certificate, key := newAuthority(t).issue("127.0.0.1:1")
 	pair, err := tls.LoadX509KeyPair(certificate, key)
 	assert.NilError(t, err)
 	return &tls.Config{InsecureSkipVerify: true, Certificates: []tls.Certificate{pair}}
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -16,6 +16,7 @@
 	"siskinspar.example/daemon/settings"
 	"siskinspar.example/declaration"
 	"siskinspar.example/standin/backend"
+	"siskinspar.example/standin/loopback"
 	"siskinspar.example/standin/platform"
 )
 
@@ -79,7 +80,7 @@
 	if m.Logger == nil {
 		m.Logger = slog.New(slog.NewTextHandler(io.Discard, nil))
 	}
-	l, err := listen("127.0.0.1:0")
+	l, err := listen(loopback.Address())
 	if err != nil {
 		return err
 	}
@@ -95,9 +96,9 @@
 	return l, eris.Wrap(err, "listen on loopback")
 }
 
-// AddDaemon starts a daemon with the given name and labels in a data centre, on free loopback ports.
+// AddDaemon starts a daemon with the given name and labels in a data centre, on loopback addresses of its own.
 func (m *Mesh) AddDaemon(name, centre string, labels declaration.Labels) (*Node, error) {
-	n := &Node{mesh: m, name: name, centre: centre, labels: labels, peerAddress: "127.0.0.1:0", callerAddress: "127.0.0.1:0", operatorAddress: "127.0.0.1:0"}
+	n := &Node{mesh: m, name: name, centre: centre, labels: labels, peerAddress: loopback.Address(), callerAddress: loopback.Address(), operatorAddress: loopback.Address()}
 	if err := n.start(); err != nil {
 		return nil, err
 	}
@@ -138,7 +139,6 @@
 		if err != nil {
 			return err
 		}
-		*address = l.Addr().String()
 		listeners = append(listeners, l)
 	}
 	n.mesh.network.register(n.peerAddress, n.centre)
@@ -224,7 +224,7 @@
 // AddBackend starts a backend server on a free loopback port and announces it to the daemon with the given labels and
 // number of connections that it accepts.
 func (n *Node) AddBackend(s *backend.Server, labels declaration.Labels, connections int) (*Backend, error) {
-	l, err := listen("127.0.0.1:0")
+	l, err := listen(loopback.Address())
 	if err != nil {
 		return nil, err
 	}
