feat(discovery): log the era of the store and what a follower reads after an outage

Cause: the logs could not tell the hypotheses of the incident apart (a position of before, an older configuration, a lost write).

--- a/sidecar/configuration/holder.go
+++ b/sidecar/configuration/holder.go
@@ -87,6 +87,9 @@
 		return
 	}
 	if !h.storeIfNewer(t, content) {
+		if inForce := h.Version(); t.Version() < inForce {
+			h.Logger.Info("configuration: older than the one in force, not taken", "version", uint64(t.Version()), "in-force", uint64(inForce), "source", source)
+		}
 		return
 	}
 	h.Logger.Info("configuration: in force", "version", uint64(t.Version()), "source", source)
--- a/sidecar/discovery/follower.go
+++ b/sidecar/discovery/follower.go
@@ -36,7 +36,9 @@
 	OnResult func(err error)
 
 	isDown bool
-	done   chan struct{}
+	// era is that of the latest page.
+	era  uint64
+	done chan struct{}
 }
 
 // Run starts a goroutine that follows the table until the context ends.
@@ -59,6 +61,7 @@
 	for ctx.Err() == nil {
 		page, err := f.fetch(ctx, version, isListed)
 		if errors.Is(err, ErrHistoryGone) {
+			f.Logger.Info("discovery: store lacks the history", "table", f.Table, "position", version)
 			isListed = false
 			continue
 		}
@@ -71,6 +74,7 @@
 			backoff = min(2*backoff, maximumBackoff)
 			continue
 		}
+		f.logPage(page, version)
 		f.markUp()
 		f.report(nil)
 		backoff = initialBackoff
@@ -101,6 +105,14 @@
 	return f.Store.Feed(callCtx, f.Table, version, wait)
 }
 
+// logPage logs the page of a store that comes back after an outage, or that has another era than the one before.
+func (f *Follower) logPage(p Page, position uint64) {
+	if f.isDown || p.Era != f.era {
+		f.Logger.Info("discovery: read after a change of the store", "table", f.Table, "position", position, "version", p.Version, "era", p.Era, "previous-era", f.era, "rows", len(p.Rows))
+	}
+	f.era = p.Era
+}
+
 func (f *Follower) report(err error) {
 	if f.OnResult != nil {
 		f.OnResult(err)
--- a/sidecar/discovery/store.go
+++ b/sidecar/discovery/store.go
@@ -22,6 +22,9 @@
 type Page struct {
 	Rows    []Row
 	Version uint64
+	// Era is raised each time that the store comes back from an older copy of itself. The store then counts its versions
+	// on from that of the copy, so versions of different eras can't be compared.
+	Era uint64
 }
 
 // Store is the part of the platform's store client that discovery uses.
