test(discovery): three failing tests of a store that comes back from an older copy

The stand-in of the store can be copied and restored: versions go back and are given out again, a position that the store has not reached gets 410, Store-Era is raised.

--- a/sidecar/discovery/discovery_test.go
+++ b/sidecar/discovery/discovery_test.go
@@ -112,6 +112,54 @@
 	assert.DeepEqual(t, s.after, []uint64{5, 20})
 }
 
+// restored returns a page of a store that came back from an older copy.
+func restored(version uint64, keys ...string) discovery.Page {
+	p := page(version, keys...)
+	p.Era = 1
+	return p
+}
+
+func TestFollowerReadsTheHistoryOfAStoreThatCameBackFromAnOlderCopy(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		lists []step
+		feeds []step
+		keys  []string
+		after []uint64
+	}{
+		{
+			"the store lacks the position", []step{{page: page(5, "a")}, {page: restored(3, "a")}},
+			[]step{{err: discovery.ErrHistoryGone}, {page: restored(4, "b")}, {page: restored(4)}}, []string{"a", "a", "b"}, []uint64{5, 3, 4},
+		},
+		{
+			"the store has reached the position again", []step{{page: page(5, "a")}, {page: restored(7, "b", "c")}},
+			[]step{{page: restored(7, "c")}, {page: restored(7)}}, []string{"a", "b", "c"}, []uint64{5, 7},
+		},
+		{
+			"the store does not tell its era", []step{{page: page(5, "a")}, {page: page(3, "b")}},
+			[]step{{page: page(3)}, {page: page(3)}}, []string{"a", "b"}, []uint64{5, 3},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &scriptedStore{lists: c.lists, feeds: c.feeds}
+			assert.DeepEqual(t, follow(t, s, 4*time.Second), c.keys)
+			assert.DeepEqual(t, s.after, c.after)
+		})
+	}
+}
+
+func TestFollowerDoesNotListWithoutPauseWhenTheHistoryIsGoneAgainAndAgain(t *testing.T) {
+	s := &scriptedStore{}
+	for range 1000 {
+		s.lists = append(s.lists, step{page: page(5)})
+		s.feeds = append(s.feeds, step{err: discovery.ErrHistoryGone})
+	}
+	s.feeds = append(s.feeds, step{page: page(5)})
+	follow(t, s, 10*time.Second)
+	// Two calls a round, at most 0.8 s and on average half a second apart.
+	assert.Assert(t, s.calls <= 60, "%d calls", s.calls)
+}
+
 func TestFollowerReadsChangeAfterFailedCalls(t *testing.T) {
 	for _, failed := range []int{1, 3, 10, 40} {
 		failures := make([]step, failed)
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -218,6 +218,34 @@
 	}
 }
 
+func TestAConfigurationThatFollowsTheReturnOfAnOlderCopyComesIntoForce(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// writes is the number of transactions between the return and the next configuration.
+		writes int
+	}{{"below the versions of before", 0}, {"at the last version of before", 1}, {"above the versions of before", 3}} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.configure(1, "desk")
+			desk, hub := d.add("desk"), d.add("hub")
+			d.await(hub, "server-0")
+			older := d.store.Copy()
+			d.configure(2, "desk")
+			d.configure(3, "hub")
+			d.await(desk, "server-1")
+			d.await(hub, "server-1")
+			d.store.Restore(older)
+			d.configure(3, "hub")
+			for n := range c.writes {
+				d.store.PutAsOperator("op", fmt.Sprint("other-", n), nil)
+			}
+			d.configure(4, "desk")
+			d.await(desk, "server-0")
+			d.await(hub, "server-0")
+		})
+	}
+}
+
 func TestADaemonStartedWhileTheStoreIsDownLearnsFromOtherDaemons(t *testing.T) {
 	d := newDeployment(t)
 	d.configure(1, "desk")
--- a/standin/platform/rows.go
+++ b/standin/platform/rows.go
@@ -206,9 +206,9 @@
 }
 
 // changes returns the rows of a table that changed after a version, oldest first. It returns false if the history of
-// that time was compacted.
+// that time was compacted, or if the store has not reached that version.
 func (r *rows) changes(table string, after uint64) (page, bool) {
-	if after < r.compacted {
+	if after < r.compacted || after > r.version {
 		return page{}, false
 	}
 	found := []row{}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,6 +15,13 @@
 	"golang.org/x/time/rate"
 )
 
+const (
+	// eraHeader is the header of each answer with the era of the store.
+	eraHeader = "Store-Era"
+	// firstEra is the era of a store that was never restored.
+	firstEra = 1
+)
+
 // MaximumRequestSize is the largest size of the body of a request in bytes.
 const MaximumRequestSize = 16 << 20
 
@@ -29,10 +37,12 @@
 
 	// once runs initialise before the first use.
 	once sync.Once
-	// mu guards rows, objects and partLimits.
-	mu         sync.Mutex
-	rows       rows
-	objects    objects
+	// mu guards rows, objects, era and partLimits.
+	mu      sync.Mutex
+	rows    rows
+	objects objects
+	// era is raised by Restore; it is in the head of each answer.
+	era        uint64
 	faults     faults
 	writeLimit *rate.Limiter
 	readLimit  *rate.Limiter
@@ -76,6 +86,7 @@
 func (s *Server) initialise() {
 	s.rows = newRows()
 	s.objects = objects{}
+	s.era = firstEra
 	s.writeLimit = newLimiter(s.WritesPerSecond)
 	s.readLimit = newLimiter(s.ReadsPerSecond)
 	s.partLimits = map[string]*rate.Limiter{}
@@ -108,17 +119,17 @@
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaximumRequestSize))
 	if err != nil {
-		answer{status: http.StatusRequestEntityTooLarge}.write(w)
+		s.refuse(w, http.StatusRequestEntityTooLarge)
 		return
 	}
 	isWrite := r.Method != http.MethodGet
 	fault := s.faults.forCall(callerAddress(r), isWrite, strings.HasPrefix(r.URL.Path, "/blob-get/"))
 	if status := fault.refusalStatus(); status != 0 {
-		answer{status: status}.write(w)
+		s.refuse(w, status)
 		return
 	}
 	if !s.allowCall(isWrite) {
-		answer{status: http.StatusTooManyRequests}.write(w)
+		s.refuse(w, http.StatusTooManyRequests)
 		return
 	}
 	switch fault.Mode {
@@ -140,6 +151,14 @@
 	a.write(w)
 }
 
+// refuse answers a call that has no effect.
+func (s *Server) refuse(w http.ResponseWriter, status int) {
+	s.mu.Lock()
+	a := answer{status: status, era: s.era}
+	s.mu.Unlock()
+	a.write(w)
+}
+
 // callerAddress returns the IP address from which a call came.
 func callerAddress(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
@@ -168,6 +187,13 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	a := s.perform(r, call, name, query, body)
+	a.era = s.era
+	return a
+}
+
+// perform performs a call that does not wait; s.mu is held.
+func (s *Server) perform(r *http.Request, call, name string, query url.Values, body []byte) answer {
 	switch r.Method + " " + call {
 	case "POST rows-tx":
 		return s.transact(body)
@@ -254,20 +280,22 @@
 	for {
 		s.mu.Lock()
 		p, ok := s.rows.changes(query.Get("table"), after)
-		changed := s.rows.changed
+		changed, era := s.rows.changed, s.era
 		s.mu.Unlock()
+		a := newAnswer(p)
 		if !ok {
-			return answer{status: http.StatusGone}
+			a = answer{status: http.StatusGone}
 		}
-		if len(p.Rows) > 0 {
-			return newAnswer(p)
+		a.era = era
+		if !ok || len(p.Rows) > 0 {
+			return a
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return newAnswer(p)
+			return a
 		case <-r.Context().Done():
-			return newAnswer(p)
+			return a
 		}
 	}
 }
@@ -277,6 +305,8 @@
 	status      int
 	body        []byte
 	contentType string
+	// era is that of the store when it performed the call.
+	era uint64
 }
 
 // newAnswer returns an answer with status 200 and the content as JSON.
@@ -292,6 +322,9 @@
 	if a.contentType != "" {
 		w.Header().Set("Content-Type", a.contentType)
 	}
+	if a.era > 0 {
+		w.Header().Set(eraHeader, strconv.FormatUint(a.era, 10))
+	}
 	w.WriteHeader(a.status)
 	// The error is ignored: a caller that closed the connection needs no answer.
 	_, _ = w.Write(a.body)
