fix(discovery): bind the position of a follower to the era of the store

What callers saw: a configuration that the store had acknowledged came into force nowhere; routes that had been added were not served. Cause: versions of the store from before and after its return were compared. The follower kept the larger of the two as its position, got 410 until the new history had reached it, and then never saw the changes up to there. Class: a position in one history used in another. Change: a position has an era; a page of another era, or of a lower version where no era is told, makes the follower list the table and go on from that list. A repeated 410 is answered with a pause.

Still red: the test of daemons, where a waiting call is repeated.

--- a/sidecar/discovery/follower.go
+++ b/sidecar/discovery/follower.go
@@ -35,12 +35,19 @@
 	// OnResult is called after each call of the store with its error, or nil; it is set before Run, or nil.
 	OnResult func(err error)
 
-	isDown bool
-	// era is that of the latest page.
-	era  uint64
-	done chan struct{}
+	isDown  bool
+	backoff time.Duration
+	// position is that of the latest page, from which Feed goes on; isListed is false while there is none.
+	position position
+	isListed bool
+	// isListedAgain is true from a List because of the history of the store until a Feed succeeds.
+	isListedAgain bool
+	done          chan struct{}
 }
 
+// position is a place in the history of the store. Only places of one era can be compared.
+type position struct{ era, version uint64 }
+
 // Run starts a goroutine that follows the table until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.done = make(chan struct{})
@@ -53,43 +60,67 @@
 // Done returns a channel that is closed once the goroutine of Run has ended.
 func (f *Follower) Done() <-chan struct{} { return f.done }
 
-// follow lists the table, then passes on its changes, and lists it again when the store has lost the history.
+// follow lists the table, then passes on its changes. It lists the table again when the store no longer has the history
+// after its position, or has another history.
 func (f *Follower) follow(ctx context.Context) {
-	backoff := initialBackoff
-	var version uint64
-	isListed := false
+	f.backoff = initialBackoff
 	for ctx.Err() == nil {
-		page, err := f.fetch(ctx, version, isListed)
-		if errors.Is(err, ErrHistoryGone) {
-			f.Logger.Info("discovery: store lacks the history", "table", f.Table, "position", version)
-			isListed = false
-			continue
-		}
-		if err != nil {
+		page, err := f.fetch(ctx)
+		switch {
+		case errors.Is(err, ErrHistoryGone):
+			f.Logger.Info("discovery: store lacks the history", "table", f.Table, "position", f.position.version, "era", f.position.era)
+			f.listAgain(ctx)
+		case err != nil:
 			f.markDown(ctx, err)
 			if ctx.Err() == nil {
 				f.report(err)
 			}
-			sleep(ctx, jitter(backoff))
-			backoff = min(2*backoff, maximumBackoff)
-			continue
-		}
-		f.logPage(page, version)
-		f.markUp()
-		f.report(nil)
-		backoff = initialBackoff
-		isListed = true
-		version = max(version, page.Version)
-		if len(page.Rows) > 0 {
-			f.OnRows(page.Rows)
-			sleep(ctx, batchDelay)
+			f.pause(ctx)
+		default:
+			f.report(nil)
+			f.receive(ctx, page)
 		}
 	}
 }
 
-// fetch lists the table if that is due, and otherwise waits for changes after a version.
-func (f *Follower) fetch(ctx context.Context, version uint64, isListed bool) (Page, error) {
-	if !isListed {
+// receive passes on the rows of a page and goes on after it, unless the store went back since the page before.
+func (f *Follower) receive(ctx context.Context, p Page) {
+	f.logPage(p)
+	f.markUp()
+	if f.isListed && f.hasGoneBack(p) {
+		f.listAgain(ctx)
+		return
+	}
+	if f.isListed {
+		f.backoff = initialBackoff
+		f.isListedAgain = false
+	}
+	f.isListed = true
+	f.position = position{era: p.Era, version: p.Version}
+	if len(p.Rows) > 0 {
+		f.OnRows(p.Rows)
+		sleep(ctx, batchDelay)
+	}
+}
+
+// hasGoneBack reports whether a page is of another history than the page before: it has another era, or an older version
+// where the store names no era.
+func (f *Follower) hasGoneBack(p Page) bool {
+	return p.Era != f.position.era || p.Version < f.position.version
+}
+
+// listAgain makes List the next call, at once unless the one before was followed by no page of changes.
+func (f *Follower) listAgain(ctx context.Context) {
+	f.isListed = false
+	if f.isListedAgain {
+		f.pause(ctx)
+	}
+	f.isListedAgain = true
+}
+
+// fetch lists the table if that is due, and otherwise waits for changes after the position.
+func (f *Follower) fetch(ctx context.Context) (Page, error) {
+	if !f.isListed {
 		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		return f.Store.List(callCtx, f.Table)
@@ -102,15 +133,20 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return f.Store.Feed(callCtx, f.Table, version, wait)
+	return f.Store.Feed(callCtx, f.Table, f.position.version, wait)
+}
+
+// pause waits before the next call, each time longer until a Feed succeeds.
+func (f *Follower) pause(ctx context.Context) {
+	sleep(ctx, jitter(f.backoff))
+	f.backoff = min(2*f.backoff, maximumBackoff)
 }
 
 // logPage logs the page of a store that comes back after an outage, or that has another era than the one before.
-func (f *Follower) logPage(p Page, position uint64) {
-	if f.isDown || p.Era != f.era {
-		f.Logger.Info("discovery: read after a change of the store", "table", f.Table, "position", position, "version", p.Version, "era", p.Era, "previous-era", f.era, "rows", len(p.Rows))
+func (f *Follower) logPage(p Page) {
+	if f.isDown || p.Era != f.position.era {
+		f.Logger.Info("discovery: read after a change of the store", "table", f.Table, "position", f.position.version, "version", p.Version, "era", p.Era, "previous-era", f.position.era, "rows", len(p.Rows))
 	}
-	f.era = p.Era
 }
 
 func (f *Follower) report(err error) {
--- a/standin/platform/copy.go
+++ b/standin/platform/copy.go
@@ -20,7 +20,7 @@
 }
 
 // Restore brings the rows and objects of a copy back and raises the era. What was written since the copy is lost, and
-// the versions that it had are given out again. Calls that wait for changes go on with the rows of the copy.
+// the versions that it had are given out again. The connections of calls that wait for changes are closed.
 func (s *Server) Restore(c *Copy) {
 	s.once.Do(s.initialise)
 	s.mu.Lock()
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -267,7 +267,7 @@
 }
 
 // feed returns the changes of a table after a version. It waits for the first change, at most as long as the call asks,
-// and then returns an answer without rows.
+// and then returns an answer without rows. The connection of a call that waits during Restore is closed.
 func (s *Server) feed(r *http.Request) answer {
 	query := r.URL.Query()
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
@@ -277,11 +277,17 @@
 	wait := time.Duration(parseBounded(query.Get("waitMs"), int(maximumWait.Milliseconds()))) * time.Millisecond
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		p, ok := s.rows.changes(query.Get("table"), after)
-		changed, era := s.rows.changed, s.era
+		changed, present := s.rows.changed, s.era
 		s.mu.Unlock()
+		if present != era {
+			panic(http.ErrAbortHandler)
+		}
 		a := newAnswer(p)
 		if !ok {
 			a = answer{status: http.StatusGone}
