fix(discovery): ask without a wait after a change of the store has been read

Cause: the position of that change was already given out again when the follower asked for what comes after it, so the store waited, for up to 20 s. Class: a wait for a version that is named from another history. Change: the first call after rows asks without a wait; its answer names the era.

The expected positions of two older tests of the follower name the further call; they stay exact.

--- a/sidecar/discovery/discovery_test.go
+++ b/sidecar/discovery/discovery_test.go
@@ -100,7 +100,7 @@
 		feeds: []step{{page: page(7, "b")}, {page: page(9, "c")}, {page: page(9)}},
 	}
 	assert.DeepEqual(t, follow(t, s, 3*time.Second), []string{"a", "b", "c"})
-	assert.DeepEqual(t, s.after, []uint64{5, 7, 9})
+	assert.DeepEqual(t, s.after, []uint64{5, 7, 9, 9})
 }
 
 func TestFollowerListsAgainWhenHistoryIsGone(t *testing.T) {
@@ -109,7 +109,7 @@
 		feeds: []step{{err: discovery.ErrHistoryGone}, {page: page(20)}},
 	}
 	assert.DeepEqual(t, follow(t, s, 3*time.Second), []string{"a", "a", "z"})
-	assert.DeepEqual(t, s.after, []uint64{5, 20})
+	assert.DeepEqual(t, s.after, []uint64{5, 20, 20})
 }
 
 // restored returns a page of a store that came back from an older copy.
@@ -129,15 +129,15 @@
 	}{
 		{
 			"the store lacks the position", []step{{page: page(5, "a")}, {page: restored(3, "a")}},
-			[]step{{err: discovery.ErrHistoryGone}, {page: restored(4, "b")}, {page: restored(4)}}, []string{"a", "a", "b"}, []uint64{5, 3, 4},
+			[]step{{err: discovery.ErrHistoryGone}, {page: restored(4, "b")}, {page: restored(4)}}, []string{"a", "a", "b"}, []uint64{5, 3, 4, 4},
 		},
 		{
 			"the store has reached the position again", []step{{page: page(5, "a")}, {page: restored(7, "b", "c")}},
-			[]step{{page: restored(7, "c")}, {page: restored(7)}}, []string{"a", "b", "c"}, []uint64{5, 7},
+			[]step{{page: restored(7, "c")}, {page: restored(7)}}, []string{"a", "b", "c"}, []uint64{5, 7, 7},
 		},
 		{
 			"the store does not tell its era", []step{{page: page(5, "a")}, {page: page(3, "b")}},
-			[]step{{page: page(3)}, {page: page(3)}}, []string{"a", "b"}, []uint64{5, 3},
+			[]step{{page: page(3)}, {page: page(3)}}, []string{"a", "b"}, []uint64{5, 3, 3},
 		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/sidecar/discovery/follower.go
+++ b/sidecar/discovery/follower.go
@@ -40,6 +40,8 @@
 	// position is that of the latest page, from which Feed goes on; isListed is false while there is none.
 	position position
 	isListed bool
+	// isQuiet is true if the latest page is of a Feed and has no rows.
+	isQuiet bool
 	// isListedAgain is true from a List because of the history of the store until a Feed succeeds.
 	isListedAgain bool
 	done          chan struct{}
@@ -95,6 +97,7 @@
 		f.backoff = initialBackoff
 		f.isListedAgain = false
 	}
+	f.isQuiet = f.isListed && len(p.Rows) == 0
 	f.isListed = true
 	f.position = position{era: p.Era, version: p.Version}
 	if len(p.Rows) > 0 {
@@ -126,9 +129,9 @@
 		return f.Store.List(callCtx, f.Table)
 	}
 	wait, timeout := feedWait, feedWait+feedGrace
-	if f.isDown {
+	if f.isDown || !f.isQuiet {
 		// A store that accepts calls without answering them could leave a waiting Feed unanswered long after it
-		// recovered.
+		// recovered, and one that went back during batchDelay would not answer it before it has passed the position.
 		wait, timeout = 0, readTimeout
 	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
--- a/standin/platform/rows.go
+++ b/standin/platform/rows.go
@@ -228,3 +228,12 @@
 	}
 	return n
 }
+
+// parseWait returns the time of a call in milliseconds: none if the text is malformed or below 0, and at most maximumWait.
+func parseWait(text string) time.Duration {
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return min(time.Duration(n)*time.Millisecond, maximumWait)
+}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -274,8 +274,7 @@
 	if err != nil {
 		return answer{status: http.StatusBadRequest}
 	}
-	wait := time.Duration(parseBounded(query.Get("waitMs"), int(maximumWait.Milliseconds()))) * time.Millisecond
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(parseWait(query.Get("waitMs")))
 	defer timer.Stop()
 	s.mu.Lock()
 	era := s.era
