fix(discovery): tell other daemons the era of the store

What callers would see: a configuration that is missed for up to 20 s where the store, or the path to it, leaves the waiting call of every follower of a data centre unanswered over its return. Cause: a follower learned of the return from its own next answer alone. Change: probes tell the newest era; a follower that waits lists the table when it learns of a newer one. Metric store.era.

Evidence: TestFollowerIsToldOfAnotherHistoryWhileTheStoreLeavesItsCallUnanswered; without the change the follower still waits.

--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -56,7 +56,7 @@
 // Probe implements discovery.StateExchange.
 func (s *Sidecar) Probe(to string) message.Probe {
 	return message.Probe{
-		Record: s.record(), Version: s.configuration.Version(), Known: s.members.Len(),
+		Record: s.record(), Version: s.configuration.Version(), StoreEra: s.storeEra.Newest(), Known: s.members.Len(),
 		Crashes: s.quarantine.Recent(time.Now()), Left: s.members.LastDraining(to), Limited: s.members.PreviousLimit(time.Now(), to), ClientRoutes: s.entry.ClientRoutes(),
 	}
 }
@@ -73,6 +73,7 @@
 	if s.members.Update(now, p.Record) {
 		s.Logger.Info("daemon: another daemon or its backend server changed", "daemon", p.Record.Address, "server", p.Record.Server.ID, "state", p.Record.Server.State.String(), "stopping", p.Record.IsStopping)
 	}
+	s.storeEra.Record(p.StoreEra)
 	s.quarantine.Merge(now, p.Crashes)
 	s.entry.MergeClientRoutes(p.ClientRoutes)
 	if p.Left.ID != "" {
--- a/sidecar/discovery/discovery_test.go
+++ b/sidecar/discovery/discovery_test.go
@@ -27,6 +27,8 @@
 type step struct {
 	page discovery.Page
 	err  error
+	// isSilent makes a call of Feed wait until it is cancelled.
+	isSilent bool
 }
 
 // takeStep returns the first step and removes it, unless it is the last.
@@ -53,6 +55,10 @@
 	isLast := len(s.feeds) == 1
 	found := takeStep(&s.feeds)
 	s.mu.Unlock()
+	if found.isSilent {
+		<-ctx.Done()
+		return discovery.Page{}, ctx.Err()
+	}
 	if isLast && found.err == nil {
 		select {
 		case <-ctx.Done():
@@ -148,6 +154,25 @@
 	}
 }
 
+func TestFollowerIsToldOfAnotherHistoryWhileTheStoreLeavesItsCallUnanswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &scriptedStore{lists: []step{{page: page(5, "a")}, {page: restored(5, "b")}}, feeds: []step{{page: page(5)}, {isSilent: true}, {page: restored(5)}}}
+		var keys []string
+		f := &discovery.Follower{
+			Table: "t", Store: s, Era: &discovery.Era{}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			OnRows: func(rows []discovery.Row) { keys = append(keys, rows[0].Key) },
+		}
+		f.Run(ctx)
+		time.Sleep(2 * time.Second)
+		f.Era.Record(1)
+		time.Sleep(time.Second)
+		cancel()
+		<-f.Done()
+		assert.DeepEqual(t, keys, []string{"a", "b"})
+	})
+}
+
 func TestFollowerDoesNotListWithoutPauseWhenTheHistoryIsGoneAgainAndAgain(t *testing.T) {
 	s := &scriptedStore{}
 	for range 1000 {
--- a/sidecar/discovery/follower.go
+++ b/sidecar/discovery/follower.go
@@ -29,6 +29,9 @@
 	Table  string
 	Store  Store
 	Logger *slog.Logger
+	// Era is the newest era of the store that the daemon knows of, which the follower raises, and which others may raise;
+	// it is set before Run, or nil.
+	Era *Era
 	// OnRows is called with all rows after each List, and with the changed rows after a Feed. It is called by one
 	// goroutine.
 	OnRows func(rows []Row)
@@ -66,12 +69,18 @@
 // after its position, or has another history.
 func (f *Follower) follow(ctx context.Context) {
 	f.backoff = initialBackoff
+	if f.Era == nil {
+		f.Era = &Era{}
+	}
 	for ctx.Err() == nil {
 		page, err := f.fetch(ctx)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			f.Logger.Info("discovery: store lacks the history", "table", f.Table, "position", f.position.version, "era", f.position.era)
 			f.listAgain(ctx)
+		case err != nil && f.isListed && f.Era.Newest() > f.position.era:
+			f.Logger.Info("discovery: store has another history", "table", f.Table, "position", f.position.version, "era", f.position.era, "newest-era", f.Era.Newest())
+			f.listAgain(ctx)
 		case err != nil:
 			f.markDown(ctx, err)
 			if ctx.Err() == nil {
@@ -89,6 +98,7 @@
 func (f *Follower) receive(ctx context.Context, p Page) {
 	f.logPage(p)
 	f.markUp()
+	f.Era.Record(p.Era)
 	if f.isListed && f.hasGoneBack(p) {
 		f.listAgain(ctx)
 		return
@@ -121,7 +131,7 @@
 	f.isListedAgain = true
 }
 
-// fetch lists the table if that is due, and otherwise waits for changes after the position.
+// fetch lists the table if that is due, and otherwise waits for changes after the position, or until a newer era is known.
 func (f *Follower) fetch(ctx context.Context) (Page, error) {
 	if !f.isListed {
 		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -136,6 +146,13 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	go func() {
+		select {
+		case <-f.Era.After(f.position.era):
+			cancel()
+		case <-callCtx.Done():
+		}
+	}()
 	return f.Store.Feed(callCtx, f.Table, f.position.version, wait)
 }
 
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -52,7 +52,7 @@
 		following, stop := context.WithCancel(ctx)
 		f.stop = stop
 		follower := &discovery.Follower{
-			Table: s.Platform.ConfigurationTable, Store: s.Platform.Store, Logger: s.Logger, OnRows: s.installRows, OnResult: s.recordStoreResult,
+			Table: s.Platform.ConfigurationTable, Store: s.Platform.Store, Era: &s.storeEra, Logger: s.Logger, OnRows: s.installRows, OnResult: s.recordStoreResult,
 		}
 		follower.Run(following)
 		s.Logger.Info("daemon: follows the store", "relays", s.relays(now))
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -73,11 +73,13 @@
 	selector     *relay.Selector
 	// storeFailedAt is when the store last failed a read, by the steady clock, or nil after a success.
 	storeFailedAt atomic.Pointer[time.Time]
-	ingress       *ingress.Server
-	peers         *peer.Server
-	servers       []*http.Server
-	isStopping    atomic.Bool
-	sequence      atomic.Uint64
+	// storeEra is the newest era of the store that this daemon or another one has read.
+	storeEra   discovery.Era
+	ingress    *ingress.Server
+	peers      *peer.Server
+	servers    []*http.Server
+	isStopping atomic.Bool
+	sequence   atomic.Uint64
 }
 
 // Run starts all parts and serves until the context ends, then answers the requests it has read and stops. It returns
@@ -304,8 +306,10 @@
 func (s *Sidecar) newMetrics() http.Handler {
 	version := metrics.NewFunctionalGauge(func() int64 { return int64(s.configuration.Version()) })
 	refusals := metrics.NewFunctionalGauge(s.configuration.Refusals)
+	era := metrics.NewFunctionalGauge(func() int64 { return int64(s.storeEra.Newest()) })
 	// The registry is new, so the names are free.
 	_ = s.registry.Register("configuration.version", version)
 	_ = s.registry.Register("configuration.refused", refusals)
+	_ = s.registry.Register("store.era", era)
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(s.registry, w) })
 }
