fix(sidecar): register again when the store comes back from an older copy

What callers would see: after a return from a copy of before the start, daemons that join find nobody in the store; their clients get only what the server beside them can serve, and nobody uses that server. Cause: a daemon wrote its row once, at its start. Class: state at the store that is taken as lasting because it was acknowledged. Change: each daemon writes its row again, spread over a second, when it learns of a newer era; the relays read the rows after that, and a new daemon reads them after it has written its own, so that of two daemons one at least finds the other.

Evidence: TestADaemonThatStartsAfterTheStoreLostItsRowsFindsTheOthers failed (no answer in 20 s) and passes.

--- a/sidecar/discovery/discovery_test.go
+++ b/sidecar/discovery/discovery_test.go
@@ -69,7 +69,7 @@
 	return found.page, found.err
 }
 
-func (s *scriptedStore) Put(context.Context, string, string, []byte) error { return nil }
+func (s *scriptedStore) Put(context.Context, string, string, []byte) (uint64, error) { return 0, nil }
 
 func page(version uint64, keys ...string) discovery.Page {
 	p := discovery.Page{Version: version}
@@ -234,7 +234,7 @@
 	return discovery.Page{}, ctx.Err()
 }
 
-func (s *silentStore) Put(context.Context, string, string, []byte) error { return nil }
+func (s *silentStore) Put(context.Context, string, string, []byte) (uint64, error) { return 0, nil }
 
 func TestFollowerReadsSilentStoreWithinThreeSecondsOfRecovery(t *testing.T) {
 	for phase := range 40 {
--- a/sidecar/discovery/store.go
+++ b/sidecar/discovery/store.go
@@ -34,6 +34,6 @@
 	// Feed returns the rows of a table that changed after a version. If there are none, it waits for up to wait and
 	// then returns an empty page. On ErrHistoryGone the caller has to List the table again.
 	Feed(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error)
-	// Put writes a row unconditionally, replacing any value that it holds.
-	Put(ctx context.Context, table, key string, value []byte) error
+	// Put writes a row unconditionally, replacing any value that it holds, and returns the era in which it was written.
+	Put(ctx context.Context, table, key string, value []byte) (era uint64, err error)
 }
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -246,6 +246,18 @@
 	}
 }
 
+func TestADaemonThatStartsAfterTheStoreLostItsRowsFindsTheOthers(t *testing.T) {
+	d := newDeployment(t)
+	older := d.store.Copy()
+	d.configure(1, "desk")
+	desk := d.add("desk")
+	d.await(desk, "server-0")
+	d.store.Restore(older)
+	d.configure(1, "desk")
+	hub := d.add("hub")
+	d.await(hub, "server-0")
+}
+
 func TestADaemonStartedWhileTheStoreIsDownLearnsFromOtherDaemons(t *testing.T) {
 	d := newDeployment(t)
 	d.configure(1, "desk")
--- a/sidecar/register.go
+++ b/sidecar/register.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"siskinspar.example/sidecar/discovery"
@@ -29,8 +30,8 @@
 }
 
 // addRows adds the daemons of the rows to the table of members and probes at once if one is new. It reports whether the
-// row of this daemon is among them, and how many of others are.
-func (s *Sidecar) addRows(rows []discovery.Row) (hasOwn bool, others int) {
+// row of this daemon is among them.
+func (s *Sidecar) addRows(rows []discovery.Row) (hasOwn bool) {
 	for _, r := range rows {
 		if _, err := netip.ParseAddrPort(r.Key); err != nil {
 			s.Logger.Warn("daemon: key of a store row is not an address", "key", r.Key, "error", err)
@@ -41,51 +42,79 @@
 			hasOwn = dataCentre == s.Settings.DataCentre
 			continue
 		}
-		others++
 		if s.members.Add(r.Key, dataCentre) {
 			s.Logger.Info("daemon: found another daemon", "address", r.Key)
 			s.prober.ProbeAll()
 		}
 	}
-	return hasOwn, others
+	return hasOwn
 }
 
-// register finds the other daemons in the store and makes this one known to those that start later. Rows are never
-// removed, so a daemon that starts again at its address finds its row there.
+// stayRegistered registers this daemon, closes registered, and registers it again each time that the store comes back
+// from an older copy, until the context ends.
+func (s *Sidecar) stayRegistered(ctx context.Context, registered chan<- struct{}) {
+	era := s.register(ctx)
+	close(registered)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.storeEra.After(era):
+		}
+		pause(ctx, rand.N(registrationSpread))
+		s.Logger.Info("daemon: registers again, the store came back from an older copy", "era", s.storeEra.Newest(), "registered-in-era", era)
+		era = s.writeRow(ctx)
+		if slices.Contains(s.relays(time.Now()), s.Settings.Daemons) {
+			s.listRows(ctx)
+		}
+	}
+}
+
+// register finds the other daemons in the store and makes this one known to those that start later. It returns the era of
+// the store in which the row of this daemon was there. Rows are never removed, so a daemon that starts again at its
+// address finds its row there.
 //
-// A daemon that finds no others reads the rows again after it has written its own: of two that start together, whichever
-// reads last then finds both rows. Others find the daemon by its probes.
-func (s *Sidecar) register(ctx context.Context) {
-	hasOwn, others := false, 0
+// The rows are read after the own one is written: of two daemons that start together, whichever reads last then finds
+// both rows. Others find the daemon by its probes.
+func (s *Sidecar) register(ctx context.Context) (era uint64) {
 	if !s.Settings.IsFirstStart {
-		hasOwn, others = s.listRows(ctx)
-	}
-	if hasOwn {
-		return
+		hasOwn, era := s.listRows(ctx)
+		if hasOwn {
+			return era
+		}
 	}
+	era = s.writeRow(ctx)
+	s.listRows(ctx)
+	return era
+}
+
+// writeRow writes the row of this daemon and returns the era of the store in which it was written.
+func (s *Sidecar) writeRow(ctx context.Context) (era uint64) {
 	value, err := json.Marshal(registration{DataCentre: s.Settings.DataCentre})
 	if err != nil {
 		s.Logger.Error("daemon: registration could not be encoded", "error", err)
-		return
+		return s.storeEra.Newest()
 	}
 	s.retryStoreCall(ctx, "write the own row", func(ctx context.Context) error {
-		return s.Platform.Store.Put(ctx, membersTable, s.Settings.Daemons, value)
+		era, err = s.Platform.Store.Put(ctx, membersTable, s.Settings.Daemons, value)
+		return err
 	})
-	if others == 0 {
-		s.listRows(ctx)
-	}
+	s.storeEra.Record(era)
+	return era
 }
 
-// listRows reads the rows of all daemons and adds them; see addRows for the results.
-func (s *Sidecar) listRows(ctx context.Context) (hasOwn bool, others int) {
+// listRows reads the rows of all daemons and adds them. It reports whether the row of this daemon is among them, and the
+// era of the store.
+func (s *Sidecar) listRows(ctx context.Context) (hasOwn bool, era uint64) {
 	s.retryStoreCall(ctx, "read the rows of the daemons", func(ctx context.Context) error {
 		page, err := s.Platform.Store.List(ctx, membersTable)
 		if err == nil {
-			hasOwn, others = s.addRows(page.Rows)
+			hasOwn, era = s.addRows(page.Rows), page.Era
 		}
 		return err
 	})
-	return hasOwn, others
+	s.storeEra.Record(era)
+	return hasOwn, era
 }
 
 // retryStoreCall repeats a call of the store until it succeeds or the context ends. Purpose is named in the log.
@@ -98,10 +127,15 @@
 			return
 		}
 		s.Logger.Warn("daemon: store call failed", "purpose", purpose, "error", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(storeRetryPause/2 + rand.N(storeRetryPause)):
-		}
+		pause(ctx, storeRetryPause/2+rand.N(storeRetryPause))
+	}
+}
+
+// pause waits for a duration or until the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
@@ -110,4 +144,6 @@
 	storeTimeout = 2 * time.Second
 	// storeRetryPause is the mean pause between two attempts; it is spread from half to one and a half of this value.
 	storeRetryPause = 500 * time.Millisecond
+	// registrationSpread is the longest delay before the own row is written again, which spreads the writes of all daemons.
+	registrationSpread = time.Second
 )
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -105,10 +105,7 @@
 		return err
 	}
 	registered := make(chan struct{})
-	go func() {
-		defer close(registered)
-		s.register(following)
-	}()
+	go s.stayRegistered(following, registered)
 	go (&storeFollower{sidecar: s}).run(following, registered)
 	s.Logger.Info("daemon: started", "instance", s.Settings.Instance, "data-centre", s.Settings.DataCentre, "service", s.Settings.Service, "incarnation", s.incarnation)
 	for {
