fix(upstream): give an ID that was refused a connection of its own

What callers saw, by the report of another operator: 'not run, try again' for a request that a server ran, or a request that ran at two servers, where a faulty server wrote an earlier refusal once more on a kept connection (REFUSED). Here an answer belongs to a request by its ID, so the refusal of another request is skipped; it was taken where the same ID came again on the connection. The daemon itself never sends a request twice to one server, so it takes a client that keeps its ID when it tries again. Change: an ID whose answer had a status of 400 or more within two minutes gets a new connection.

Evidence: TestAnEarlierRefusalThatIsWrittenOnceMoreIsNotTakenForAnAnswer, two of five cases failed (503 for a request that was answered with 200, or not at all).

--- a/sidecar/upstream/client.go
+++ b/sidecar/upstream/client.go
@@ -77,6 +77,8 @@
 	idle []*conn
 	// open counts the connections in use, idle or being dialled.
 	open int
+	// failed holds the IDs of requests that were answered with a status of 400 or more.
+	failed recentIDs
 }
 
 // defaultBodySize limits the body of an answer if the client has no other limit, in bytes.
@@ -90,18 +92,20 @@
 	return defaultBodySize
 }
 
-// Send sends a request at most once and returns the whole answer. A request without an ID gets a connection of its own,
-// since nothing would distinguish its answer from a late one to an earlier request. It waits for the answer until the context ends or the
+// Send sends a request at most once and returns the whole answer. A request without an ID gets a new connection, since
+// nothing would distinguish its answer from a late one to an earlier request, and so does one with an ID that was refused
+// or failed before: the server may write that answer once more. It waits for the answer until the context ends or the
 // timeout, which starts when the connection is open, has passed.
 func (c *Client) Send(ctx context.Context, q message.Request, header http.Header, timeout time.Duration) Result {
-	n, err := c.acquire(ctx, header.Get(c.IDHeader) != "")
+	id := header.Get(c.IDHeader)
+	n, err := c.acquire(ctx, id != "" && !c.hasFailed(id))
 	if err != nil {
 		return Result{Outcome: NotSent, Err: err, IsRefused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	r := newRequest(q, header)
 	isReused := n.isUsed
 	n.isUsed = true
-	n.expected <- exchange{request: r, id: header.Get(c.IDHeader), idHeader: c.IDHeader}
+	n.expected <- exchange{request: r, id: id, idHeader: c.IDHeader}
 	written := make(chan error, 1)
 	go func() { written <- n.write(r, len(q.Body)) }()
 	timer := time.NewTimer(timeout)
@@ -111,9 +115,25 @@
 		c.discard(n)
 		return Result{Outcome: Lost, Err: err}
 	}
+	if a.err == nil && a.response.StatusCode >= http.StatusBadRequest {
+		c.recordFailed(id)
+	}
 	return c.finish(n, a, isReused)
 }
 
+// hasFailed reports whether a request with an ID was answered with a status of 400 or more.
+func (c *Client) hasFailed(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed.has(id)
+}
+
+func (c *Client) recordFailed(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed.add(time.Now(), id)
+}
+
 // await waits for the answer. If it arrives before the whole request was sent, the connection is not reused.
 func (n *conn) await(ctx context.Context, written <-chan error, expired <-chan time.Time) (answer, error) {
 	isWritten := false
