fix(entry): refuse requests that come too late in the grace, and answer all before its end

What callers saw, by the report of another operator: requests that came late in the grace of a planned stop were passed on and then cut with no answer, among them such as may not be repeated (LOST). Here too: a request that was read after the stop began, such as an upload that was slow to arrive, was passed on however little time was left, and the connection was closed at the end. Class: work that is accepted without regard to the end of the one who accepts it. Change: once a stop has begun, a request is passed on only while twice its usual answer time is left, and otherwise refused as not run, so that the client can go elsewhere; the same holds for calls of other daemons at the owner. What is unanswered at the end gets 502, since it may run. The end is at nine tenths of the grace in place of a second before it, so that it lies in the last sixth also where the grace is 6 s.

Evidence: TestARequestThatComesTooLateInTheGraceIsRefusedAndNotPassedOn failed (no answer when the daemon had ended) and passes with 503 and no run. TestRequestsThatWaitForASlotWhenTheGraceEndsAreRefusedInTime passed before: these were refused.

--- a/sidecar/entry/dispatch.go
+++ b/sidecar/entry/dispatch.go
@@ -96,6 +96,10 @@
 		if c.isBudgetExhausted || !now.Before(c.deadline) {
 			break
 		}
+		if !now.Before(h.lastStart(c)) {
+			c.reason = reasonStopping
+			break
+		}
 		d, ok := h.selectDestination(ctx, c, now, calls < maximumDirectCalls)
 		if !ok {
 			break
--- a/sidecar/entry/handler.go
+++ b/sidecar/entry/handler.go
@@ -118,6 +118,8 @@
 	// owners don't take a job for one of an earlier start. It is set before use.
 	FirstNumber uint64
 
+	// ending is the end of this daemon, once StopBy has set it.
+	ending ending
 	// lastNumber is the number of the latest job sent to an owner, less FirstNumber.
 	lastNumber atomic.Uint64
 	mu         sync.Mutex
--- a/sidecar/entry/hedge.go
+++ b/sidecar/entry/hedge.go
@@ -40,7 +40,7 @@
 
 // send sends the request to one owner and waits for the reply until answerGrace after the deadline.
 func (h *Handler) send(ctx context.Context, c *clientCall, m *message.Call, to member.Candidate) callResult {
-	limited, cancel := context.WithDeadline(ctx, c.deadline.Add(answerGrace))
+	limited, cancel := context.WithDeadline(ctx, h.deadline(c).Add(answerGrace))
 	defer cancel()
 	h.Directory.RecordSent(to.Address)
 	started := time.Now()
@@ -160,6 +160,6 @@
 
 // newOwnerCall returns the message to the owner of the destination, with the time left until the deadline.
 func (h *Handler) newOwnerCall(c *clientCall, d destination) *message.Call {
-	d.job.Deadline = time.Until(c.deadline)
+	d.job.Deadline = time.Until(h.deadline(c))
 	return &message.Call{Job: d.job, Ticket: d.ticket, Request: c.request}
 }
--- a/sidecar/entry/reserve.go
+++ b/sidecar/entry/reserve.go
@@ -40,8 +40,8 @@
 
 // reserve asks several owners for a slot, uses the first one that is granted and withdraws the other reservations. Those
 // in near are asked at once, those in far once all in near have refused, or have not replied for the widening delay: an
-// owner that hangs must not hold the request. It reports false when all owners refuse, the deadline passes or the client
-// disconnects, and sets the reason of the request.
+// owner that hangs must not hold the request. It reports false when all owners refuse, the deadline or the last start
+// passes, or the client disconnects, and sets the reason of the request.
 func (h *Handler) reserve(ctx context.Context, c *clientCall, near, far []member.Candidate) (destination, bool) {
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
@@ -50,6 +50,8 @@
 	r.start(ctx, near)
 	widen := time.NewTimer(wideningDelay(c))
 	defer widen.Stop()
+	ending := h.ending.wait()
+	var tooLate <-chan time.Time
 	for {
 		if len(r.pending) == 0 {
 			if len(far) == 0 {
@@ -67,6 +69,12 @@
 		case <-widen.C:
 			r.start(ctx, far)
 			far = nil
+		case <-ending:
+			ending = nil
+			tooLate = time.After(time.Until(h.lastStart(c)))
+		case <-tooLate:
+			c.reason = reasonStopping
+			return destination{}, false
 		case <-ctx.Done():
 			c.reason = reasonFor(ctx.Err())
 			return destination{}, false
--- a/sidecar/entry/select.go
+++ b/sidecar/entry/select.go
@@ -85,7 +85,7 @@
 	return message.Job{
 		TransferTime: h.transferTime(now, c, to),
 		Number:       h.FirstNumber + h.lastNumber.Add(1), Entry: h.Address, Server: to.Server.ID, Route: c.route.Name(), Priority: c.route.Priority(),
-		Kind: c.route.Kind(), IsNested: c.isNested, Target: c.target.Sub(now), Deadline: c.deadline.Sub(now), Share: share,
+		Kind: c.route.Kind(), IsNested: c.isNested, Target: c.target.Sub(now), Deadline: h.deadline(c).Sub(now), Share: share,
 	}
 }
 
--- a/sidecar/ingress/server.go
+++ b/sidecar/ingress/server.go
@@ -52,6 +52,8 @@
 	Serve(ctx context.Context, r *Request) *Response
 	// Refuse returns the answer, with the given HTTP status, to a request that could not be read.
 	Refuse(status int) *Response
+	// Abandon returns the answer to a request for which Serve has not returned at the end of the drain.
+	Abandon(r *Request) *Response
 }
 
 // Server serves the clients of one listener. The exported fields are set before Run.
@@ -70,8 +72,10 @@
 	listener *listener.Listener
 	// isDraining is true once Drain was called: each answer then tells the client that the connection closes.
 	isDraining atomic.Bool
-	mu         sync.Mutex
-	conns      map[*conn]bool
+	// ended is closed at the end of the drain; the requests without an answer are then abandoned.
+	ended chan struct{}
+	mu    sync.Mutex
+	conns map[*conn]bool
 	// group counts the open connections.
 	group sync.WaitGroup
 }
@@ -79,6 +83,7 @@
 // Run starts to listen and serve; it returns once the server listens, or the error of the listener.
 func (s *Server) Run() error {
 	s.conns = map[*conn]bool{}
+	s.ended = make(chan struct{})
 	s.listener = &listener.Listener{Name: "clients", Address: s.Address, Serve: s.serve, Logger: s.Logger}
 	return s.listener.Run()
 }
@@ -110,22 +115,32 @@
 	}
 }
 
-// Stop drains the connections, closes the listener and waits for up to limit until all connections have ended.
+// Stop drains the connections, closes the listener and waits for up to limit until all connections have ended. It then
+// abandons the requests that have no answer, and waits for up to abandonTime until these answers are sent.
 func (s *Server) Stop(limit time.Duration) {
 	s.Drain()
 	s.listener.Stop()
-	ended := make(chan struct{})
+	closed := make(chan struct{})
 	go func() {
 		s.group.Wait()
-		close(ended)
+		close(closed)
 	}()
 	select {
-	case <-ended:
+	case <-closed:
+		return
 	case <-time.After(limit):
 		s.Logger.Warn("ingress: connections are still open at the end of the drain", "connections", s.count())
 	}
+	close(s.ended)
+	select {
+	case <-closed:
+	case <-time.After(abandonTime):
+	}
 }
 
+// abandonTime is how long the answers to abandoned requests may take to be sent.
+const abandonTime = 100 * time.Millisecond
+
 // count returns the number of open connections.
 func (s *Server) count() int {
 	s.mu.Lock()
--- a/sidecar/ingress/server_test.go
+++ b/sidecar/ingress/server_test.go
@@ -45,6 +45,10 @@
 	return &ingress.Response{Status: http.StatusOK, Header: http.Header{}, Body: []byte(r.Method + " " + r.RequestURI + " " + string(r.BodyContent))}
 }
 
+func (h *handler) Abandon(*ingress.Request) *ingress.Response {
+	return &ingress.Response{Status: http.StatusBadGateway, Header: http.Header{}}
+}
+
 func (h *handler) Refuse(status int) *ingress.Response {
 	h.refused <- status
 	return &ingress.Response{Status: status, Header: http.Header{}}
--- a/sidecar/ingress/write.go
+++ b/sidecar/ingress/write.go
@@ -13,7 +13,7 @@
 	w := n.server.Pacer.Writer(n.Conn)
 	isBroken := false
 	for x := range n.queue {
-		response := <-x.response
+		response := n.await(x)
 		n.server.Memory.Release(x.held)
 		if isBroken {
 			continue
@@ -27,6 +27,21 @@
 	}
 }
 
+// await returns the answer to a request, once it is there or the server has ended.
+func (n *conn) await(x *exchange) *Response {
+	select {
+	case response := <-x.response:
+		return response
+	case <-n.server.ended:
+	}
+	select {
+	case response := <-x.response:
+		return response
+	default:
+		return n.server.Handler.Abandon(x.request)
+	}
+}
+
 // isLastAnswer ends the wait for further requests. It reports whether the connection closes after the current answer
 // because no other request is queued or has begun to arrive; a request that arrives later is not read.
 func (n *conn) isLastAnswer() bool {
--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -56,7 +56,7 @@
 	isBulk := q.Kind == route.Download && q.Entry != o.Address
 	return slot.Job{
 		Class: q.Route, Priority: q.Priority,
-		Target: now.Add(q.Target - q.TransferTime), Deadline: now.Add(q.Deadline - q.TransferTime), Share: q.Share, IsBulk: isBulk, IsNested: q.IsNested,
+		Target: now.Add(q.Target - q.TransferTime), Deadline: now.Add(o.timeLeft(now, q) - q.TransferTime), Share: q.Share, IsBulk: isBulk, IsNested: q.IsNested,
 	}
 }
 
@@ -79,7 +79,7 @@
 		return ReasonWithdrawn
 	case o.server.ID != q.Server || o.server.State == member.Absent:
 		return ReasonOtherServer
-	case o.isRefusing, o.server.State == member.Draining:
+	case o.isRefusing, o.server.State == member.Draining, o.isTooLate(now, q.Route):
 		return string(slot.ReasonDraining)
 	case now.Before(o.unreachableUntil):
 		return ReasonUnreachable
@@ -97,6 +97,9 @@
 	if reason != "" {
 		return o.refusedReply(reason)
 	}
+	o.mu.Lock()
+	c.Job.Deadline = o.timeLeft(arrived, c.Job)
+	o.mu.Unlock()
 	result := o.send(ctx, client, c)
 	o.applyNotice(client, c.Job.Server, result)
 	took := time.Since(arrived)
--- a/sidecar/owner/drain.go
+++ b/sidecar/owner/drain.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"siskinspar.example/sidecar/member"
+	"siskinspar.example/sidecar/message"
 )
 
 // RecordDrain applies the report of another daemon that an incarnation of the backend server has announced its drain to
@@ -61,3 +62,30 @@
 	o.isRefusing = true
 	o.notify(o.slots.Drain())
 }
+
+// StopBy tells the owner that this daemon ends at the time end. A request whose usual service no longer fits is refused
+// from then on, and one that runs gets no more time than that.
+func (o *Owner) StopBy(end time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.end = end
+}
+
+// isTooLate reports whether the usual service of a request does not fit before the end of this daemon; the caller holds
+// the lock.
+func (o *Owner) isTooLate(now time.Time, route string) bool {
+	return !o.end.IsZero() && now.Add(serviceFactor*o.slots.ServiceTime(route)).After(o.end)
+}
+
+// timeLeft returns the time until the deadline of a request, or until the end of this daemon if that is earlier; the
+// caller holds the lock.
+func (o *Owner) timeLeft(now time.Time, q message.Job) time.Duration {
+	if o.end.IsZero() {
+		return q.Deadline
+	}
+	return min(q.Deadline, o.end.Sub(now))
+}
+
+// serviceFactor is the multiple of the usual service time of a route that must be left before the end of this daemon, so
+// that a request gets a slot.
+const serviceFactor = 2
--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -111,8 +111,10 @@
 	unmatchedDrain member.Server
 	// isRefusing is true once Refuse was called.
 	isRefusing bool
-	done       chan struct{}
-	stop       chan struct{}
+	// end is when this daemon ends, once StopBy has set it.
+	end  time.Time
+	done chan struct{}
+	stop chan struct{}
 }
 
 // callKey identifies a request among those of all entry daemons, by the address of the entry daemon and its number
--- a/sidecar/slot/controller.go
+++ b/sidecar/slot/controller.go
@@ -107,6 +107,9 @@
 	return changes
 }
 
+// ServiceTime returns the mean service time of a class, or defaultServiceTime if none of its jobs has finished yet.
+func (c *Controller) ServiceTime(class string) time.Duration { return c.serviceTimes.mean(class) }
+
 // Arrive decides on a new job: it runs at once if a slot and the link are free, the rate limit allows it and no queued
 // job can take the slot; otherwise it is queued or refused. A job that may not wait is never queued. The ticket is 0 and
 // the reason is set only for a refused job.
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -8,12 +8,17 @@
 // While clients are still answered, the owner accepts calls of daemons that know no other backend server of a service.
 // After that it refuses new calls, so that none is cut.
 //
+// A request that comes too late to be answered in time is refused and not passed on, so that it can be served elsewhere.
+//
 // The listener stays open for two readiness checks, so that clients see the daemon as not ready. After that it refuses
 // connections, and clients go to another daemon without a request whose outcome is unknown.
 func (s *Sidecar) stop() {
-	deadline := time.Now().Add(s.Settings.Grace - stopMargin)
-	s.Logger.Info("daemon: stopping", "limit", s.Settings.Grace-stopMargin)
+	limit := time.Duration(stopShare * float64(s.Settings.Grace))
+	deadline := time.Now().Add(limit)
+	s.Logger.Info("daemon: stopping", "limit", limit)
 	s.isStopping.Store(true)
+	s.entry.StopBy(deadline)
+	s.owner.StopBy(deadline)
 	s.sendRecord()
 	s.ingress.Drain()
 	time.Sleep(min(noticeTime, time.Until(deadline)/2))
@@ -32,8 +37,9 @@
 }
 
 const (
-	// stopMargin is the part of the platform's grace period that is kept free for the end of the process.
-	stopMargin = time.Second
+	// stopShare is the share of the platform's grace period in which requests are answered; the rest is for the end of the
+	// process. A request that a server still runs in the last sixth of the period may be abandoned.
+	stopShare = 0.9
 	// noticeTime is how long clients and other daemons have, after the daemon is not ready, to use other daemons instead.
 	// It covers two readiness checks of the platform. The announcement to the other daemons is sent before.
 	noticeTime = 2200 * time.Millisecond
