fix(spread): commit versions again that the store has lost

Cause: the daemons hold versions that the log no longer has, and wait for its head to reach them. Class: state at the store that is taken as lasting because it was acknowledged. Change: a relay, and a daemon that commits a submission, commit the versions after the head of the log again from memory, each as it was and on the condition that the one before it is the head, after checking that they follow from the log. Event version-restored.

Not covered: versions that are no longer in the memory of any daemon, and a daemon that restarts alone and commits before it has found another one.

--- a/cmd/integration/harness_test.go
+++ b/cmd/integration/harness_test.go
@@ -265,6 +265,20 @@
 	_ = response.Body.Close()
 }
 
+// copyStore has the platform stand-in take a copy of the store, which restoreStore brings back.
+func (m *mesh) copyStore() { m.callStandIn("copy") }
+
+// restoreStore brings the store back as it was when it was copied.
+func (m *mesh) restoreStore() { m.callStandIn("restore") }
+
+func (m *mesh) callStandIn(name string) {
+	m.t.Helper()
+	response, err := m.httpClient.Post("http://"+m.platformAddress+"/standin/"+name, "", nil)
+	assert.NilError(m.t, err)
+	_ = response.Body.Close()
+	assert.Equal(m.t, response.StatusCode, http.StatusNoContent)
+}
+
 // standardDeclarations declares one service with a repeatable and an unrepeatable route.
 const standardDeclarations = `
 kind: service
--- /dev/null
+++ b/cmd/integration/restore_test.go
@@ -0,0 +1,55 @@
+package integration_test
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// loseTwoVersions starts daemons, applies three versions and brings the store back as it was after the first.
+func loseTwoVersions(t *testing.T) *mesh {
+	t.Helper()
+	m := startDaemons(t, 3, 2)
+	m.watchVersions()
+	for n := range 3 {
+		if n == 1 {
+			m.copyStore()
+		}
+		output, code := m.daemons[n].apply(m.writeDeclarations(withTimeout(10 + n)))
+		assert.Equal(t, code, 0, output)
+	}
+	m.restoreStore()
+	return m
+}
+
+// restartAll kills all daemons and starts them again, so that what they know comes from the store.
+func (m *mesh) restartAll() {
+	m.t.Helper()
+	for _, i := range m.daemons {
+		i.kill()
+	}
+	for _, i := range m.daemons {
+		i.restart()
+	}
+	m.awaitMembership(0)
+}
+
+func TestAnAcceptedVersionThatTheStoreLostIsInForceAfterARestart(t *testing.T) {
+	m := loseTwoVersions(t)
+	eventually(t, "the version log holds all versions", func() bool {
+		history, err := m.daemons[0].operatorClient().History(context.Background())
+		return err == nil && len(history) == 3
+	})
+	m.restartAll()
+	m.awaitVersion(3, m.daemons...)
+}
+
+func TestAChangeIsAcceptedAfterTheStoreLostVersions(t *testing.T) {
+	m := loseTwoVersions(t)
+	output, code := m.daemons[0].apply(m.writeDeclarations(withTimeout(20)))
+	assert.Equal(t, code, 0, output)
+	m.awaitVersion(4, m.daemons...)
+	m.restartAll()
+	m.awaitVersion(4, m.daemons...)
+}
--- a/daemon/commit/committer.go
+++ b/daemon/commit/committer.go
@@ -61,6 +61,9 @@
 	// returns them.
 	// It returns no changes when it installed a whole state instead.
 	CatchUp(ctx context.Context, target declaration.Version) ([]versionlog.Change, error)
+	// RestoreLog commits the versions in force again that follow the head of the log, which the store has lost, and returns
+	// the new head.
+	RestoreLog(ctx context.Context, head record.Head) (record.Head, error)
 	// ReportRefusal logs the error of a version that could not be put in force.
 	ReportRefusal(err error)
 }
@@ -205,12 +208,18 @@
 }
 
 // syncToHead reads the head of the version log, puts the missing changes in force on this daemon and sends them to its
-// data centre. It returns the head.
+// data centre. Versions that the log has lost are committed again. It returns the head.
 func (c *Committer) syncToHead(ctx context.Context) (record.Head, error) {
+	inForce := c.Configuration.Version()
 	head, err := c.Storage.Log.Head(ctx)
 	c.Storage.RecordResult(err)
-	if err != nil || head.Version <= c.Configuration.Version() {
+	switch {
+	case err != nil:
 		return head, err
+	case head.Version < inForce:
+		return c.Distributor.RestoreLog(ctx, head)
+	case head.Version <= c.Configuration.Version():
+		return head, nil
 	}
 	changes, err := c.Distributor.CatchUp(ctx, head.Version)
 	if err != nil {
--- a/daemon/spread/distribute.go
+++ b/daemon/spread/distribute.go
@@ -163,13 +163,22 @@
 }
 
 // syncToHead reads the head of the version log. When it is newer than the version in force, syncToHead puts the missing
-// changes in force and pushes them within the data centre.
+// changes in force and pushes them within the data centre. When it is older, syncToHead restores the log.
 func (s *Spreader) syncToHead() {
 	ctx, cancel := s.Storage.Context()
 	defer cancel()
+	inForce := s.Configuration.Version()
 	head, err := s.Storage.Log.Head(ctx)
 	s.Storage.RecordResult(err)
-	if err != nil || head.Version <= s.Configuration.Version() {
+	switch {
+	case err != nil:
+		return
+	case head.Version < inForce:
+		if _, err := s.RestoreLog(ctx, head); err != nil {
+			s.reportUnrestored(err)
+		}
+		return
+	case head.Version <= s.Configuration.Version():
 		return
 	}
 	changes, err := s.CatchUp(ctx, head.Version)
--- a/standin/platform/copy.go
+++ b/standin/platform/copy.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/http"
 	"slices"
 )
 
@@ -38,3 +39,25 @@
 		stored: maps.Clone(r.stored), history: slices.Clone(r.history), compacted: r.compacted, version: r.version, changed: make(chan struct{}),
 	}
 }
+
+// serveCopy takes the copy from which serveRestore brings the store back.
+func (s *Server) serveCopy(w http.ResponseWriter) {
+	taken := s.Copy()
+	s.mu.Lock()
+	s.saved = taken
+	s.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// serveRestore restores the copy of serveCopy, or answers 404 if there is none.
+func (s *Server) serveRestore(w http.ResponseWriter) {
+	s.mu.Lock()
+	saved := s.saved
+	s.mu.Unlock()
+	if saved == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.Restore(saved)
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -37,12 +37,14 @@
 
 	// once runs initialise before the first use.
 	once sync.Once
-	// mu guards rows, objects, era and partLimits.
+	// mu guards rows, objects, era, saved and partLimits.
 	mu      sync.Mutex
 	rows    rows
 	objects objects
 	// era is raised by Restore; it is in the head of each answer.
-	era        uint64
+	era uint64
+	// saved is the copy that a call has taken, or nil.
+	saved      *Copy
 	faults     faults
 	writeLimit *rate.Limiter
 	readLimit  *rate.Limiter
@@ -101,13 +103,17 @@
 	return rate.NewLimiter(rate.Limit(perSecond), int(perSecond)+1)
 }
 
-// ServeHTTP implements http.Handler. It serves the calls of the store, and under /standin/ the calls that set a fault
-// and return the counts.
+// ServeHTTP implements http.Handler. It serves the calls of the store, and under /standin/ the calls that set a fault,
+// take and restore a copy, and return the counts.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.once.Do(s.initialise)
 	switch {
 	case r.URL.Path == "/standin/fault" && r.Method == http.MethodPost:
 		s.serveFault(w, r)
+	case r.URL.Path == "/standin/copy" && r.Method == http.MethodPost:
+		s.serveCopy(w)
+	case r.URL.Path == "/standin/restore" && r.Method == http.MethodPost:
+		s.serveRestore(w)
 	case r.URL.Path == "/standin/counts":
 		newAnswer(s.Counts()).write(w)
 	default:
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -18,6 +18,7 @@
 	KindVersionReceived    Kind = "version-received"
 	KindVersionRefused     Kind = "version-refused"
 	KindVersionInForce     Kind = "version-in-force"
+	KindVersionRestored    Kind = "version-restored"
 	KindSubmissionRefused  Kind = "submission-refused"
 	KindRelayChanged       Kind = "relay-changed"
 	KindStoreDown          Kind = "store-down"
