fix(claimer): write claims again that the store has lost

Change: each daemon keeps its claims of the last two minutes and writes those again that the store lacks, when it learns of a new era: from answers of the store or from the header of a message of another daemon. Until others have had 3 s for that, a daemon gives up a claim that it could write, so the request is refused as not run.

TestAClaimThatTheStoreLostIsWrittenAgainWithItsResponse: 503 at first, then the response of the one run. The era moved to package store, where both daemons find it. Not covered: a daemon that starts after the return and gets the second request before the others have written; responses above 4 KB, whose second request gets 409.

--- a/daemon/claimer/claimer.go
+++ b/daemon/claimer/claimer.go
@@ -54,8 +54,11 @@
 	HolderClient HolderClient
 	// Timeout is the timeout of one call to the platform.
 	Timeout time.Duration
+	// Era is the newest era of the store that this daemon knows of.
+	Era *store.Era
 
 	mu       sync.Mutex
+	recent   recentClaims
 	registry *claim.Registry
 	running  map[claim.Token]chan struct{}
 }
@@ -182,8 +185,8 @@
 	return true, nil, nil
 }
 
-// tryAcquireSlotAndClaim waits for a slot and writes the claim. If it does not get the claim, it frees the slot and
-// returns false.
+// tryAcquireSlotAndClaim waits for a slot and writes the claim. If it does not get the claim, or an earlier claim may be
+// lost, it frees the slot and returns false.
 func (a *attempt) tryAcquireSlotAndClaim(ctx context.Context, expected uint64) (bool, *outcome.Failure) {
 	releaseSlot, failure := a.acquireSlot(ctx)
 	if failure != nil {
@@ -194,6 +197,11 @@
 		releaseSlot()
 		return false, failure
 	}
+	if a.claimer.isRestoring(time.Now()) {
+		releaseSlot()
+		a.deleteClaim()
+		return false, a.newFailure(outcome.ReasonStore)
+	}
 	a.releaseSlot = releaseSlot
 	return true, nil
 }
@@ -222,6 +230,7 @@
 		switch {
 		case err == nil:
 			a.revision = w.Revision
+			a.claimer.remember(a.key, row)
 			return true, nil
 		case store.IsCause(err, store.CauseConflict):
 			return a.isOwnRow(ctx)
@@ -241,6 +250,7 @@
 		return false, failure
 	}
 	a.revision = revision
+	a.claimer.remember(a.key, found)
 	return true, nil
 }
 
@@ -339,6 +349,7 @@
 // this daemon still reports the attempt as abandoned to those that ask.
 func (a *attempt) deleteClaim() {
 	a.claimer.endAttempt(a.token, claim.StateAbandoned)
+	a.claimer.forget(a.key)
 	w := store.Write{Key: a.key, IsDelete: true, Condition: store.IfRevision, Expected: a.revision}
 	_ = a.transact(context.Background(), w)
 }
--- a/daemon/claimer/claimer_test.go
+++ b/daemon/claimer/claimer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -30,6 +31,7 @@
 		Objects:      rowstore.Objects{Client: client},
 		HolderClient: fakeHolder{state},
 		Timeout:      time.Second,
+		Era:          client.Era(),
 	}
 }
 
@@ -109,3 +111,35 @@
 	_, failure = c.Do(t.Context(), request, acquireSlot, run)
 	assert.Assert(t, failure == nil)
 }
+
+func TestAClaimThatTheStoreLostIsWrittenAgainWithItsResponse(t *testing.T) {
+	s := &platform.Server{}
+	h := httptest.NewServer(s)
+	defer h.Close()
+	older := s.Copy()
+	first := newClaimer(h, "first", claim.StateAnswered)
+	go first.RunRestores(t.Context(), slog.New(slog.DiscardHandler))
+	var runs atomic.Int32
+	run := func(context.Context) (*claim.Answer, *outcome.Failure) {
+		runs.Add(1)
+		return &claim.Answer{Status: 200, Body: []byte("paid")}, nil
+	}
+	_, failure := first.Do(t.Context(), request, acquireSlot, run)
+	assert.Assert(t, failure == nil)
+	second := newClaimer(h, "second", claim.StateAnswered)
+	other := request
+	other.Key = "other"
+	_, failure = second.Do(t.Context(), other, acquireSlot, run)
+	assert.Assert(t, failure == nil)
+	s.Restore(older)
+	_, failure = second.Do(t.Context(), request, acquireSlot, run)
+	assert.Equal(t, failure.Outcome(), outcome.NotRun, "the claim of the first daemon may be lost")
+	first.Era.Record(second.Era.Newest())
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if answer, _ := second.Do(t.Context(), request, acquireSlot, run); answer != nil {
+			assert.Equal(t, string(answer.Body), "paid")
+			break
+		}
+	}
+	assert.Equal(t, runs.Load(), int32(2), "one run for each key")
+}
--- a/daemon/claimer/store.go
+++ b/daemon/claimer/store.go
@@ -39,6 +39,7 @@
 	if err != nil {
 		return
 	}
+	a.claimer.remember(a.key, row)
 	a.retryWrite(func(ctx context.Context) error {
 		err := a.claimer.Table.Transact(ctx, []store.Write{w})
 		if store.IsCause(err, store.CauseConflict) {
--- a/daemon/core/core.go
+++ b/daemon/core/core.go
@@ -16,6 +16,7 @@
 	"siskinspar.example/daemon/roster"
 	"siskinspar.example/daemon/settings"
 	"siskinspar.example/request/outcome"
+	"siskinspar.example/store"
 	"siskinspar.example/timeline"
 	"siskinspar.example/versionlog/record"
 )
@@ -33,6 +34,7 @@
 	Configuration *configuration.Holder
 	Roster        *roster.Roster
 	VersionLog    *record.Log
+	StoreEra      *store.Era
 	Backends      *backends.Table
 	Identity      *peer.Identity
 	Pool          *peer.Pool
--- a/daemon/part/control/part.go
+++ b/daemon/part/control/part.go
@@ -17,7 +17,7 @@
 	"siskinspar.example/membership"
 )
 
-// Part runs the control node and the removal of expired claims.
+// Part runs the control node, the removal of expired claims and the return of lost ones.
 type Part struct{ done <-chan struct{} }
 
 // Name returns the name of the part in error messages.
@@ -44,14 +44,14 @@
 	timing := distribution.DefaultTiming
 	timing.Poll = c.Settings.Control.PollPeriod
 	c.Claimer = &claimer.Claimer{
-		Self: c.Settings.Instance.Name, Table: c.VersionLog.Table, Objects: c.VersionLog.Objects, Timeout: c.Settings.Platform.Timeout,
+		Self: c.Settings.Instance.Name, Table: c.VersionLog.Table, Objects: c.VersionLog.Objects, Timeout: c.Settings.Platform.Timeout, Era: c.StoreEra,
 	}
 	c.CrashGuard = &crash.Guard{Instance: c.Settings.Instance.Name, Recorder: c.Recorder}
 	c.ControlNode = &control.Node{
 		Claims:  c.Claimer,
 		Notices: c.CrashGuard,
 		State: &shared.State{
-			Roster: c.Roster, Configuration: c.Configuration, Pool: c.Pool, Clock: c.Clock, Recorder: c.Recorder, Logger: c.Logger,
+			Roster: c.Roster, Configuration: c.Configuration, Pool: c.Pool, Clock: c.Clock, Recorder: c.Recorder, Logger: c.Logger, StoreEra: c.StoreEra,
 		},
 		Storage:      &storage.Storage{Log: c.VersionLog, Timeout: c.Settings.Platform.Timeout, Recorder: c.Recorder, Logger: c.Logger},
 		Seeds:        c.Settings.Peers.Seeds,
@@ -65,6 +65,7 @@
 	p.done = done
 	var group conc.WaitGroup
 	group.Go(func() { c.Claimer.RunSweeps(ctx, c.Logger) })
+	group.Go(func() { c.Claimer.RunRestores(ctx, c.Logger) })
 	group.Go(func() { <-c.ControlNode.Done() })
 	go func() {
 		group.Wait()
--- a/daemon/part/store/part.go
+++ b/daemon/part/store/part.go
@@ -31,6 +31,7 @@
 	p.done = make(chan struct{})
 	close(p.done)
 	client := rowstore.NewClient(c.Settings.Platform.Address)
+	c.StoreEra = client.Era()
 	c.VersionLog = &record.Log{Table: rowstore.Table{Client: client}, Objects: rowstore.Objects{Client: client}}
 	return nil
 }
--- a/daemon/peer/message.go
+++ b/daemon/peer/message.go
@@ -34,6 +34,8 @@
 	Stamp timeline.Stamp
 	// Version is the version that the sender has in force.
 	Version declaration.Version
+	// StoreEra is the newest era of the store that the sender knows of, as defined at store.Era.
+	StoreEra uint64
 }
 
 // ProbeRequest asks whether the receiver is alive and carries membership gossip.
--- a/daemon/shared/state.go
+++ b/daemon/shared/state.go
@@ -9,6 +9,7 @@
 	"siskinspar.example/daemon/roster"
 	"siskinspar.example/daemon/work"
 	"siskinspar.example/membership"
+	"siskinspar.example/store"
 	"siskinspar.example/timeline"
 )
 
@@ -21,12 +22,14 @@
 	Recorder      *timeline.Recorder
 	Logger        *slog.Logger
 	Workers       *work.Pool
+	// StoreEra is the newest era of the store that this daemon knows of.
+	StoreEra *store.Era
 }
 
-// Header returns the header for a message of this daemon: its identity, a fresh time stamp and its configuration
-// version.
+// Header returns the header for a message of this daemon: its identity, a fresh time stamp, its configuration version
+// and the era of the store.
 func (s *State) Header() peer.Header {
-	return peer.Header{From: s.Roster.Self().ID, Stamp: s.Clock.Stamp(), Version: s.Configuration.Version()}
+	return peer.Header{From: s.Roster.Self().ID, Stamp: s.Clock.Stamp(), Version: s.Configuration.Version(), StoreEra: s.StoreEra.Newest()}
 }
 
 // IsLocal reports whether an instance is known and in the same data centre as this daemon.
--- a/daemon/spread/spreader.go
+++ b/daemon/spread/spreader.go
@@ -56,10 +56,11 @@
 // Image returns the image of the version in force, or the error of encoding it.
 func (s *Spreader) Image() ([]byte, error) { return s.images.get(s.Configuration) }
 
-// HandleHeader processes the header of a received message: it advances the clock, and queues a pull when the sender
-// has a newer version in force.
+// HandleHeader processes the header of a received message: it advances the clock, records the era of the store, and
+// queues a pull when the sender has a newer version in force.
 func (s *Spreader) HandleHeader(h peer.Header) {
 	s.Clock.Receive(h.Stamp)
+	s.StoreEra.Record(h.StoreEra)
 	s.mu.Lock()
 	s.follower.HandleInForce(s.Configuration.Version())
 	step := s.follower.HandlePeerVersion(time.Now(), h.From, h.Version)
--- a/sidecar/discovery/discovery_test.go
+++ b/sidecar/discovery/discovery_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"siskinspar.example/sidecar/discovery"
+	"siskinspar.example/store"
 )
 
 // scriptedStore is a store that answers each call with the next scripted step and repeats the last one.
@@ -160,7 +161,7 @@
 		s := &scriptedStore{lists: []step{{page: page(5, "a")}, {page: restored(5, "b")}}, feeds: []step{{page: page(5)}, {isSilent: true}, {page: restored(5)}}}
 		var keys []string
 		f := &discovery.Follower{
-			Table: "t", Store: s, Era: &discovery.Era{}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Table: "t", Store: s, Era: &store.Era{}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 			OnRows: func(rows []discovery.Row) { keys = append(keys, rows[0].Key) },
 		}
 		f.Run(ctx)
--- a/sidecar/discovery/follower.go
+++ b/sidecar/discovery/follower.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"math/rand/v2"
 	"time"
+
+	"siskinspar.example/store"
 )
 
 const (
@@ -31,7 +33,7 @@
 	Logger *slog.Logger
 	// Era is the newest era of the store that the daemon knows of, which the follower raises, and which others may raise;
 	// it is set before Run, or nil.
-	Era *Era
+	Era *store.Era
 	// OnRows is called with all rows after each List, and with the changed rows after a Feed. It is called by one
 	// goroutine.
 	OnRows func(rows []Row)
@@ -70,7 +72,7 @@
 func (f *Follower) follow(ctx context.Context) {
 	f.backoff = initialBackoff
 	if f.Era == nil {
-		f.Era = &Era{}
+		f.Era = &store.Era{}
 	}
 	for ctx.Err() == nil {
 		page, err := f.fetch(ctx)
--- a/sidecar/discovery/store.go
+++ b/sidecar/discovery/store.go
@@ -22,8 +22,7 @@
 type Page struct {
 	Rows    []Row
 	Version uint64
-	// Era is raised each time that the store comes back from an older copy of itself. The store then counts its versions
-	// on from that of the copy, so versions of different eras can't be compared.
+	// Era is the era of the store, as defined at store.Era; versions of different eras can't be compared.
 	Era uint64
 }
 
--- a/sidecar/message/message.go
+++ b/sidecar/message/message.go
@@ -135,7 +135,7 @@
 	Record member.Record
 	// Version is the version of the configuration in force at the sender, or 0.
 	Version route.Version
-	// StoreEra is the newest era of the store that the sender knows of, as defined in package discovery.
+	// StoreEra is the newest era of the store that the sender knows of, as defined at store.Era.
 	StoreEra uint64
 	// Crashes are the recent crashes that the sender knows.
 	Crashes []Crash
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -29,6 +29,7 @@
 	"siskinspar.example/sidecar/placement"
 	"siskinspar.example/sidecar/relay"
 	"siskinspar.example/sidecar/settings"
+	"siskinspar.example/store"
 )
 
 // Headers translates the headers of requests and answers.
@@ -74,7 +75,7 @@
 	// storeFailedAt is when the store last failed a read, by the steady clock, or nil after a success.
 	storeFailedAt atomic.Pointer[time.Time]
 	// storeEra is the newest era of the store that this daemon or another one has read.
-	storeEra   discovery.Era
+	storeEra   store.Era
 	ingress    *ingress.Server
 	peers      *peer.Server
 	servers    []*http.Server
--- a/sidecar/discovery/era.go
+++ b/store/era.go
@@ -1,12 +1,19 @@
-package discovery
+package store
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
-// Era holds the newest era of the store that this daemon knows of, as defined in Page; it is 0 at first. It is safe for
-// concurrent use.
+// Era holds the newest era of the store that this daemon knows of, or 0 at first. It is safe for concurrent use.
+//
+// The era of a store is raised each time that it comes back from an older copy of itself. What was written since that copy
+// is then lost, also if it was acknowledged, and the versions that it had are given out again.
 type Era struct {
 	mu     sync.Mutex
 	newest uint64
+	// raisedAt is when newest was last raised, other than from 0.
+	raisedAt time.Time
 	// raised is closed when newest is raised; it is nil while nobody waits.
 	raised chan struct{}
 }
@@ -18,6 +25,13 @@
 	return e.newest
 }
 
+// RaisedAt returns when this daemon last learned that the store had come back, or the zero time.
+func (e *Era) RaisedAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.raisedAt
+}
+
 // Record records an era that an answer of the store or another daemon has named.
 func (e *Era) Record(era uint64) {
 	e.mu.Lock()
@@ -25,6 +39,9 @@
 	if era <= e.newest {
 		return
 	}
+	if e.newest > 0 {
+		e.raisedAt = time.Now()
+	}
 	e.newest = era
 	if e.raised != nil {
 		close(e.raised)
