--- /dev/null
+++ b/sidecar/store_test.go
@@ -0,0 +1,81 @@
+package sidecar_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"siskinspar.example/standin/platform"
+)
+
+func TestANewerConfigurationComesIntoForceEverywhere(t *testing.T) {
+	d := newDeployment(t)
+	d.configure(1, "desk")
+	desk, hub := d.add("desk"), d.add("hub")
+	d.await(hub, "server-0")
+	// The daemons can't read the changes since version 1 any more and have to list the table again.
+	d.store.Compact()
+	d.configure(2, "hub")
+	d.await(desk, "server-1")
+	d.await(hub, "server-1")
+	d.configure(1, "desk")
+	for range 50 {
+		_, server := d.get(desk)
+		assert.Equal(t, server, "server-1", "an older version does not come back")
+	}
+}
+
+func TestAConfigurationThatFollowsTheReturnOfAnOlderCopyComesIntoForce(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// writes is the number of transactions between the return and the next configuration.
+		writes int
+	}{{"below the versions of before", 0}, {"at the last version of before", 1}, {"above the versions of before", 3}} {
+		t.Run(c.name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.configure(1, "desk")
+			desk, hub := d.add("desk"), d.add("hub")
+			d.await(hub, "server-0")
+			older := d.store.Copy()
+			d.configure(2, "desk")
+			d.configure(3, "hub")
+			d.await(desk, "server-1")
+			d.await(hub, "server-1")
+			d.store.Restore(older)
+			d.configure(3, "hub")
+			for n := range c.writes {
+				d.store.PutAsOperator("op", fmt.Sprint("other-", n), nil)
+			}
+			d.configure(4, "desk")
+			d.await(desk, "server-0")
+			d.await(hub, "server-0")
+		})
+	}
+}
+
+func TestADaemonThatStartsAfterTheStoreLostItsRowsFindsTheOthers(t *testing.T) {
+	d := newDeployment(t)
+	older := d.store.Copy()
+	d.configure(1, "desk")
+	desk := d.add("desk")
+	d.await(desk, "server-0")
+	d.store.Restore(older)
+	d.configure(1, "desk")
+	hub := d.add("hub")
+	d.await(hub, "server-0")
+}
+
+func TestADaemonStartedWhileTheStoreIsDownLearnsFromOtherDaemons(t *testing.T) {
+	d := newDeployment(t)
+	d.configure(1, "desk")
+	desk, hub := d.add("desk"), d.add("hub")
+	d.await(hub, "server-0")
+	d.store.SetFault(platform.Fault{Mode: platform.ModeDown})
+	hub.stop()
+	<-hub.ended
+	d.start(hub)
+	// The other daemon probes the address that it knows, so no seed is needed.
+	d.await(hub, "server-0")
+	d.await(desk, "server-0")
+}
