fix(entry): name the stop as the reason only where it is the reason

Cause: the timer of the last start was set also where the deadline comes first. Change: it is set only where the last start comes first. Nothing else changes: what is refused, and when, is the same. No test: the reason is seen in the log alone.

--- a/sidecar/entry/reserve.go
+++ b/sidecar/entry/reserve.go
@@ -71,7 +71,9 @@
 			far = nil
 		case <-ending:
 			ending = nil
-			tooLate = time.After(time.Until(h.lastStart(c)))
+			if last := h.lastStart(c); last.Before(c.deadline) {
+				tooLate = time.After(time.Until(last))
+			}
 		case <-tooLate:
 			c.reason = reasonStopping
 			return destination{}, false
