--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -33,7 +33,7 @@
 
 // cases are the cases by name; each reports whether the rule was broken.
 var cases = map[string]func(*lab) (bool, error){
-	"drain": playDrain, "config": playConfig, "crash": playCrash, "gone": playGone, "mixed": playMixed,
+	"drain": playDrain, "config": playConfig, "crash": playCrash, "gone": playGone, "mixed": playMixed, "path": playPath,
 }
 
 func main() {
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -9,7 +9,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/textproto"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -123,22 +125,38 @@
 func (s *server) serve(c net.Conn) {
 	reader := bufio.NewReader(c)
 	for {
-		r, err := http.ReadRequest(reader)
+		r, err := readRequest(reader)
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			return
-		}
-		if !s.answer(c, reader, r, body) {
+		if !s.answer(c, reader, r) {
 			return
 		}
 	}
 }
 
+// readRequest reads a request with its body, and takes whatever stands between the method and the protocol for its
+// target. The daemon sends bodies with their length.
+func readRequest(reader *bufio.Reader) (*http.Request, error) {
+	text := textproto.NewReader(reader)
+	line, err := text.ReadLine()
+	if err != nil {
+		return nil, err
+	}
+	method, rest, _ := strings.Cut(line, " ")
+	target, _, _ := strings.Cut(rest, " ")
+	header, err := text.ReadMIMEHeader()
+	if err != nil {
+		return nil, err
+	}
+	// Without a length there is no body.
+	length, _ := strconv.Atoi(header.Get("Content-Length"))
+	_, err = io.CopyN(io.Discard, reader, int64(length))
+	return &http.Request{Method: method, RequestURI: target, Header: http.Header(header)}, err
+}
+
 // answer runs a request and writes the answer; it reports whether the connection goes on.
-func (s *server) answer(c net.Conn, reader *bufio.Reader, r *http.Request, _ []byte) bool {
+func (s *server) answer(c net.Conn, reader *bufio.Reader, r *http.Request) bool {
 	id := r.Header.Get("Request-Id")
 	header := http.Header{"Request-Id": {id}, "Keep-Alive": {"timeout=10"}}
 	s.mu.Lock()
