--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -33,7 +35,7 @@
 
 // cases are the cases by name; each reports whether the rule was broken.
 var cases = map[string]func(*lab) (bool, error){
-	"drain": playDrain, "config": playConfig, "crash": playCrash, "gone": playGone, "mixed": playMixed, "path": playPath,
+	"drain": playDrain, "config": playConfig, "crash": playCrash, "mixed": playMixed, "path": playPath,
 }
 
 func main() {
@@ -52,6 +54,7 @@
 		return exitNotRun
 	}
 	defer l.stop()
+	go l.stopOnSignal()
 	isBroken, err := cases[os.Args[1]](l)
 	switch {
 	case err != nil:
@@ -101,6 +104,15 @@
 	}
 }
 
+// stopOnSignal ends all processes when the case is interrupted.
+func (l *lab) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	<-signals
+	l.stop()
+	os.Exit(exitNotRun)
+}
+
 // add adds a machine with a server of a service and starts both.
 func (l *lab) add(name, zone, service string, configure func(*server)) error {
 	return l.addThin(name, zone, service, 1000, configure)
