Review, case 1: machines that the store turns away keep all on an old configuration

In place of an outage of the whole store, in which no response was due on the waiting connections: the store gives no response to six of 18 machines, the relays of three zones, for 4.5 s, and serves the others and the operator, who writes a configuration meanwhile. Requests count from 3 s after the end of that. Case 5 counts the unsafe requests of others that its crashes end.

--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -15,9 +15,10 @@
 // hostName is the host of all routes.
 const hostName = "lamplight.example"
 
-// asTimeout reports whether an error is a time-out of a connection.
-func asTimeout(err error, target *net.Error) bool {
-	return errors.As(err, target) && (*target).Timeout()
+// isTimeout reports whether an error is a time-out of a connection.
+func isTimeout(err error) bool {
+	var networkError net.Error
+	return errors.As(err, &networkError) && networkError.Timeout()
 }
 
 var lastRequest atomic.Int64
--- a/review/lab/config.go
+++ b/review/lab/config.go
@@ -2,20 +2,25 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
 )
 
 const (
-	// outageTime is how long the store is down.
+	// outageTime is how long the store turns machines away.
 	outageTime = 4500 * time.Millisecond
+	// relaysPerZone is the number of daemons of a zone that follow the store.
+	relaysPerZone = 2
+	// machinesPerZone is the number of machines of each zone.
+	machinesPerZone = 6
 	// watchOldTime is how long after its acknowledgement a configuration is awaited at most.
-	watchOldTime = 25 * time.Second
+	watchOldTime = 26 * time.Second
 )
 
-// playConfig: the store is silent for a while, and then works again. Later a configuration moves a route to another
-// service, adds one and drops one.
+// playConfig: the store turns six of 18 machines away for a while, those whose calls wait there, and serves the others
+// and the operator. Meanwhile a configuration moves a route to another service, adds one and drops one.
 func playConfig(l *lab) (bool, error) {
 	status := routeOf{Name: "status", Prefix: "/status/", Kind: "safe", TimeoutS: 1.5, TargetLatencyS: 0.5, Priority: 2, Service: "desk", Attempts: 2}
 	dropped := routeOf{Name: "dropped", Prefix: "/dropped/", Kind: "unsafe", TimeoutS: 2, TargetLatencyS: 0.5, Priority: 2, Service: "desk", Attempts: 2}
@@ -30,28 +35,36 @@
 			ran[x.id] = x
 		}
 	}
-	for _, m := range []struct{ name, zone, service string }{{"a1", "zone-a", "desk"}, {"a2", "zone-a", "ledger"}, {"b1", "zone-b", "desk"}, {"b2", "zone-b", "ledger"}, {"c1", "zone-c", "desk"}, {"c2", "zone-c", "ledger"}} {
-		if err := l.add(m.name, m.zone, m.service, configure); err != nil {
-			return false, err
+	for _, zone := range []string{"a", "b", "c"} {
+		for n := range machinesPerZone {
+			service := "desk"
+			if n%3 == 2 {
+				service = "ledger"
+			}
+			if err := l.add(fmt.Sprintf("%s%d", zone, n+1), "zone-"+zone, service, configure); err != nil {
+				return false, err
+			}
 		}
 	}
 	if err := l.awaitReady(); err != nil {
 		return false, err
 	}
-	if err := l.awaitFeeds(); err != nil {
+	followers, err := l.awaitFeeds(3 * relaysPerZone)
+	if err != nil {
 		return false, err
 	}
+	ended := time.Now().Add(outageTime)
 	if l.isTrouble {
-		l.store.goSilent(outageTime)
-	} else {
-		time.Sleep(outageTime)
+		l.record.say("store: gives no response to %d of %d machines for %v, serves the others", len(followers), len(l.machines), outageTime)
+		go l.store.turnAway(followers, outageTime)
 	}
-	time.Sleep(livenessTime + time.Second)
+	time.Sleep(time.Second)
 	moved := status
 	moved.Service = "ledger"
 	acknowledged := l.store.put("op", "config", configuration(9, 15, moved, added))
 	l.record.say("configuration 9 is acknowledged: /status/ moves to ledger, /added/ is new, /dropped/ is gone")
-	time.Sleep(time.Until(acknowledged.Add(configTime + 200*time.Millisecond)))
+	time.Sleep(time.Until(ended.Add(livenessTime + 200*time.Millisecond)))
+	l.record.say("the store has served all machines for livenessS, %.1f s after the acknowledgement", time.Since(acknowledged).Seconds())
 
 	checks := func() []request {
 		return []request{
@@ -61,7 +74,8 @@
 		}
 	}
 	old, all := 0, 0
-	for isStale := true; time.Since(acknowledged) < watchOldTime && (isStale || time.Since(acknowledged) < 4*time.Second); {
+	stale := map[string]bool{}
+	for isStale, rounds := true, 0; time.Since(acknowledged) < watchOldTime && (isStale || rounds < 5); rounds++ {
 		isStale = false
 		for _, m := range l.machines {
 			for i, q := range checks() {
@@ -75,25 +89,26 @@
 				if isOld {
 					old++
 					isStale = true
+					stale[m.name] = true
 					l.record.add("CONFIG: %s %s at %s, sent %.3f s after the acknowledgement: answered %d, run by %q", q.method, q.target, m.name, sent.Sub(acknowledged).Seconds(), a.status, x.service)
 				}
 			}
 		}
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(time.Second)
 	}
-	l.record.say("CONFIG: %d of %d requests that were sent later than configS after the acknowledgement were handled as only the older version allows, the last round ended %.1f s after it", old, all, time.Since(acknowledged).Seconds())
+	l.record.say("CONFIG: %d of %d requests at %d machines, all sent later than configS after the acknowledgement, were handled as only the older version allows; the last round ended %.1f s after it", old, all, len(stale), time.Since(acknowledged).Seconds())
 	return old > 0, nil
 }
 
-// awaitFeeds waits until each daemon that follows the store waits there for changes.
-func (l *lab) awaitFeeds() error {
-	for range 200 {
-		count, oldest := l.store.waitingFeeds()
-		if count > 0 && time.Since(oldest) > 1500*time.Millisecond {
-			l.record.say("%d calls of rows-feed wait, the oldest for %.3f s", count, time.Since(oldest).Seconds())
-			return nil
+// awaitFeeds waits until a number of daemons wait at the store for changes, and returns their addresses there.
+func (l *lab) awaitFeeds(number int) ([]string, error) {
+	for range 300 {
+		addresses, latest := l.store.waitingFeeds()
+		if len(addresses) == number && time.Since(latest) > 1500*time.Millisecond {
+			l.record.say("%d calls of rows-feed wait, the latest for %.3f s", number, time.Since(latest).Seconds())
+			return addresses, nil
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	return errors.New("nobody follows the store")
+	return nil, errors.New("the daemons that follow the store did not settle")
 }
--- a/review/lab/crash.go
+++ b/review/lab/crash.go
@@ -18,6 +18,31 @@
 	freeRetries = 3
 )
 
+// lodgeTime is how long each of the other requests runs.
+const lodgeTime = 400 * time.Millisecond
+
+// lodge sends an unsafe request to each machine and returns, once they run, a function that waits for the answers and
+// returns how many were no success.
+func (l *lab) lodge() (failed func() int) {
+	results := make(chan int, len(l.machines))
+	for _, m := range l.machines {
+		go func() {
+			a := send(m, l.record, request{id: newID(), method: http.MethodPost, target: "/lodge/1", body: "loan", deadline: 4 * time.Second})
+			results <- a.status
+		}()
+	}
+	time.Sleep(lodgeTime / 4)
+	return func() int {
+		lost := 0
+		for range l.machines {
+			if status := <-results; status/100 != 2 {
+				lost++
+			}
+		}
+		return lost
+	}
+}
+
 // poison sends the request that crashes servers to a machine.
 func poison(l *lab, m *machine) {
 	send(m, l.record, request{id: newID(), method: http.MethodGet, target: "/pull/poison", deadline: 2500 * time.Millisecond})
@@ -27,10 +52,17 @@
 // started in turn.
 func playCrash(l *lab) (bool, error) {
 	l.store.put("op", "config", configuration(7, 15,
+		routeOf{Name: "lodge", Prefix: "/lodge/", Kind: "unsafe", TimeoutS: 2, TargetLatencyS: 0.6, Priority: 1, Service: "ledger", Attempts: 2},
 		routeOf{Name: "pull", Prefix: "/pull/", Kind: "safe", TimeoutS: 1.5, TargetLatencyS: 0.4, Priority: 2, Service: "ledger", Attempts: 2}))
 	var mu sync.Mutex
 	var crashes []time.Time
 	configure := func(s *server) {
+		s.work = func(r *http.Request) time.Duration {
+			if r.Method == http.MethodPost {
+				return lodgeTime
+			}
+			return 20 * time.Millisecond
+		}
 		s.crashes = func(r *http.Request) bool {
 			if !strings.HasSuffix(r.RequestURI, "/poison") {
 				return false
@@ -67,11 +99,13 @@
 		}
 		time.Sleep(livenessTime + 500*time.Millisecond)
 		l.record.say("the request comes again, %d crashes so far", count(&mu, &crashes))
+		failed := l.lodge()
 		if n == restartCount-1 {
 			go poison(l, l.machines[1])
 			go poison(l, l.machines[2])
 		}
 		poison(l, l.machines[0])
+		l.record.say("%d of %d unsafe requests of others, which ran at the servers by then, were no success", failed(), len(l.machines))
 	}
 	time.Sleep(3 * time.Second)
 	mu.Lock()
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -87,9 +87,8 @@
 	}
 	l := &lab{record: r, directory: directory, root: root, network: n, isTrouble: os.Getenv("TROUBLE") != "0"}
 	l.record.say("with the disruption: %v", l.isTrouble)
-	address := fmt.Sprintf("%s:%d", n.host(), portStore)
-	l.store, err = newStore(address, r)
-	return l, err
+	l.store = newStore(r)
+	return l, nil
 }
 
 // stop ends all processes and removes the temporary folder, unless KEEP names that it shall stay.
@@ -120,11 +119,14 @@
 
 // addThin is add with the capacity of the link of the machine.
 func (l *lab) addThin(name, zone, service string, linkMbps float64, configure func(*server)) error {
-	m := &machine{name: name, zone: zone, service: service, host: l.network.host(), storeAddress: l.store.address(), linkMbps: linkMbps, directory: l.directory, root: l.root, record: l.record}
+	m := &machine{name: name, zone: zone, service: service, host: l.network.host(), storeAddress: fmt.Sprintf("%s:%d", l.network.host(), portStore), linkMbps: linkMbps, directory: l.directory, root: l.root, record: l.record}
 	s := &server{id: "i-" + name, machine: m, record: l.record, slots: 9}
 	if configure != nil {
 		configure(s)
 	}
+	if err := l.store.listen(m.storeAddress); err != nil {
+		return err
+	}
 	l.machines = append(l.machines, m)
 	l.servers = append(l.servers, s)
 	if err := m.start(); err != nil {
@@ -147,6 +149,3 @@
 	l.record.add("all daemons are ready")
 	return nil
 }
-
-// address returns the address of the store.
-func (s *store) address() string { return s.listenAddress }
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -195,7 +195,8 @@
 		s.crash()
 		return false
 	}
-	if !s.pass(c, reader, r) {
+	isInTime, isOpen := s.pass(c, reader, r)
+	if !isOpen {
 		s.record.add("server %s: gave up %s, its connection has closed", s.id, id)
 		if s.onEnd != nil {
 			s.onEnd(id, false)
@@ -203,7 +204,12 @@
 		return false
 	}
 	if s.onEnd != nil {
-		s.onEnd(id, true)
+		s.onEnd(id, isInTime)
+	}
+	if !isInTime {
+		s.record.add("server %s: the deadline of %s has passed", s.id, id)
+		header.Set("Server-Stamp", s.id+"."+id)
+		return write(c, http.StatusGatewayTimeout, header, nil)
 	}
 	header.Set("Server-Stamp", s.id+"."+id)
 	var content []byte
@@ -215,28 +221,30 @@
 	return write(c, http.StatusOK, header, content)
 }
 
-// pass lets the time of a request pass; it reports false if the connection closes or the deadline passes meanwhile.
-func (s *server) pass(c net.Conn, reader *bufio.Reader, r *http.Request) bool {
+// pass lets the time of a request pass. It reports whether the request was done before its deadline, and whether its
+// connection is still open.
+func (s *server) pass(c net.Conn, reader *bufio.Reader, r *http.Request) (isInTime, isOpen bool) {
 	d := 20 * time.Millisecond
 	if s.work != nil {
 		d = s.work(r)
 	}
-	if left, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
-		d = min(d, time.Duration(left)*time.Millisecond)
+	isInTime = true
+	if left, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil && time.Duration(left)*time.Millisecond < d {
+		d, isInTime = time.Duration(left)*time.Millisecond, false
 	}
 	if err := c.SetReadDeadline(time.Now().Add(d)); err != nil {
-		return false
+		return isInTime, false
 	}
 	_, err := reader.Peek(1)
 	if resetError := c.SetReadDeadline(time.Time{}); resetError != nil {
-		return false
+		return isInTime, false
 	}
 	if err == nil {
+		// The caller sends one request at a time, so nothing is expected here; it is read once the answer is written.
 		time.Sleep(d)
-		return true
+		return isInTime, true
 	}
-	var timeout net.Error
-	return asTimeout(err, &timeout)
+	return isInTime, isTimeout(err)
 }
 
 // write writes a whole answer with its length.
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -8,7 +8,6 @@
 	"sort"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -31,10 +30,11 @@
 
 // connection is the state of one connection to the store.
 type connection struct {
-	// isSilent is true once the answer to a call on the connection was lost: it then delivers nothing further.
-	isSilent atomic.Bool
-	// calls is the number of calls without an answer; the lock of the store guards it.
-	calls int
+	// address is that at which the store has accepted the connection.
+	address string
+	// isSilent is true once the answer to a call on the connection was lost: it then delivers nothing further. The lock
+	// of the store guards it.
+	isSilent bool
 }
 
 // store is a small stand-in of the platform's store: rows-tx, rows-get and rows-feed.
@@ -46,55 +46,55 @@
 	history []row
 	version uint64
 	changed chan struct{}
-	isDown  bool
-	conns   map[*connection]bool
-	// feeds holds the start of each waiting rows-feed call.
-	feeds         map[*http.Request]time.Time
-	server        *http.Server
-	start         time.Time
-	listenAddress string
+	// turnedAway holds the addresses at which no call gets an answer.
+	turnedAway map[string]bool
+	// feeds holds the waiting rows-feed calls.
+	feeds  map[*http.Request]feedCall
+	server *http.Server
+	start  time.Time
+}
+
+// feedCall is a waiting rows-feed call: when it came, and at which address.
+type feedCall struct {
+	start   time.Time
+	address string
 }
 
 type connectionKey struct{}
 
-// newStore starts a store at an address.
-func newStore(address string, r *record) (*store, error) {
+// newStore returns a store that listens nowhere yet.
+func newStore(r *record) *store {
+	s := &store{record: r, rows: map[string]row{}, changed: make(chan struct{}), turnedAway: map[string]bool{}, feeds: map[*http.Request]feedCall{}, start: time.Now()}
+	s.server = &http.Server{Handler: s, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, &connection{address: c.LocalAddr().String()})
+	}}
+	return s
+}
+
+// listen makes the store listen at an address; each machine has one of its own, so that the store can tell them apart.
+func (s *store) listen(address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	s := &store{listenAddress: address, record: r, rows: map[string]row{}, changed: make(chan struct{}), conns: map[*connection]bool{}, feeds: map[*http.Request]time.Time{}, start: time.Now()}
-	s.server = &http.Server{Handler: s, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
-		c := &connection{}
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.conns[c] = true
-		return context.WithValue(ctx, connectionKey{}, c)
-	}}
 	go func() {
 		// Serve ends with the process.
 		_ = s.server.Serve(l)
 	}()
-	return s, nil
+	return nil
 }
 
-// goSilent makes the store answer no call for a time: neither those that wait nor those that come. What has no answer by
-// then never gets one, and its connection delivers nothing further. New connections work again afterwards.
-func (s *store) goSilent(d time.Duration) {
+// turnAway makes the store give no response at some addresses for a time, while it serves the others and the operator.
+func (s *store) turnAway(addresses []string, d time.Duration) {
 	s.mu.Lock()
-	s.isDown = true
-	for c := range s.conns {
-		if c.calls > 0 {
-			c.isSilent.Store(true)
-		}
+	for _, a := range addresses {
+		s.turnedAway[a] = true
 	}
 	s.mu.Unlock()
-	s.record.say("store: silent from now on, for %v", d)
 	time.Sleep(d)
 	s.mu.Lock()
-	s.isDown = false
+	s.turnedAway = map[string]bool{}
 	s.mu.Unlock()
-	s.record.say("store: answers again")
 }
 
 // put writes a row as the operator and returns when it was acknowledged.
@@ -115,24 +115,23 @@
 	s.changed = make(chan struct{})
 }
 
-// waitingFeeds returns the number of rows-feed calls that wait, and the start of the oldest.
-func (s *store) waitingFeeds() (count int, oldest time.Time) {
+// waitingFeeds returns the addresses of the rows-feed calls that wait, and the start of the latest.
+func (s *store) waitingFeeds() (addresses []string, latest time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, t := range s.feeds {
-		if count == 0 || t.Before(oldest) {
-			oldest = t
+	for _, f := range s.feeds {
+		if f.start.After(latest) {
+			latest = f.start
 		}
-		count++
+		addresses = append(addresses, f.address)
 	}
-	return count, oldest
+	sort.Strings(addresses)
+	return addresses, latest
 }
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, _ := r.Context().Value(connectionKey{}).(*connection)
-	s.begin(c)
-	defer s.end(c)
 	var answer any
 	status := http.StatusOK
 	switch r.Method + " " + r.URL.Path {
@@ -141,12 +140,12 @@
 	case "GET /rows-get":
 		answer = s.get(r)
 	case "GET /rows-feed":
-		answer = s.feed(r)
+		answer = s.feed(r, c)
 	default:
 		status = http.StatusNotFound
 	}
-	if c.isSilent.Load() {
-		s.record.add("store: no answer to %s %s", r.Method, r.URL.Path)
+	if s.isLost(c) {
+		s.record.add("store: no response to %s %s at %s", r.Method, r.URL.Path, c.address)
 		<-r.Context().Done()
 		return
 	}
@@ -157,21 +156,12 @@
 	_ = json.NewEncoder(w).Encode(answer)
 }
 
-// begin counts a call on a connection. The answer to a call that begins during an outage is lost.
-func (s *store) begin(c *connection) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c.calls++
-	if s.isDown {
-		c.isSilent.Store(true)
-	}
-}
-
-// end counts a call that has its answer.
-func (s *store) end(c *connection) {
+// isLost reports whether a response on a connection is lost.
+func (s *store) isLost(c *connection) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.calls--
+	c.isSilent = c.isSilent || s.turnedAway[c.address]
+	return c.isSilent
 }
 
 // page returns rows with the newest version; the caller holds the lock.
@@ -226,7 +216,7 @@
 	return s.page(found)
 }
 
-func (s *store) feed(r *http.Request) page {
+func (s *store) feed(r *http.Request, c *connection) page {
 	q := r.URL.Query()
 	// Malformed numbers count as 0.
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
@@ -235,8 +225,8 @@
 	defer timer.Stop()
 	s.mu.Lock()
 	if wait > 0 {
-		s.feeds[r] = time.Now()
-		s.record.add("store: rows-feed waits, after %d, for %d ms, from %s", after, wait, r.RemoteAddr)
+		s.feeds[r] = feedCall{start: time.Now(), address: c.address}
+		s.record.add("store: rows-feed waits, after %d, for %d ms, at %s", after, wait, c.address)
 	}
 	s.mu.Unlock()
 	defer func() {
