feat(discovery): log how long the call took with which an outage of the store shows

Cause: a relay that waited for 22 s and one that was turned away at once wrote the same line, so hypotheses 1 and 2 of docs/incidents/silent-store.md could not be told apart by it. Change: the line names the position, whether the call waited for changes, and how long it took. Conclusion: with hypothesis 1 the first line of an outage has quiet=true and took=22s.

--- a/sidecar/discovery/follower.go
+++ b/sidecar/discovery/follower.go
@@ -75,6 +75,7 @@
 		f.Era = &store.Era{}
 	}
 	for ctx.Err() == nil {
+		started := time.Now()
 		page, err := f.fetch(ctx)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
@@ -84,7 +85,7 @@
 			f.Logger.Info("discovery: store has another history", "table", f.Table, "position", f.position.version, "era", f.position.era, "newest-era", f.Era.Newest())
 			f.listAgain(ctx)
 		case err != nil:
-			f.markDown(ctx, err)
+			f.markDown(ctx, err, time.Since(started))
 			if ctx.Err() == nil {
 				f.report(err)
 			}
@@ -177,13 +178,14 @@
 	}
 }
 
-// markDown logs the first failure of an outage; failures because the context ended don't count.
-func (f *Follower) markDown(ctx context.Context, err error) {
+// markDown logs the first failure of an outage, and how long the failed call took; failures because the context ended
+// don't count.
+func (f *Follower) markDown(ctx context.Context, err error, took time.Duration) {
 	if f.isDown || ctx.Err() != nil {
 		return
 	}
 	f.isDown = true
-	f.Logger.Warn("discovery: store unreachable", "table", f.Table, "error", err)
+	f.Logger.Warn("discovery: store unreachable", "table", f.Table, "position", f.position.version, "quiet", f.isQuiet, "took", took, "error", err)
 }
 
 func (f *Follower) markUp() {
