--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -154,6 +154,18 @@
 	d.t.Fatalf("no answer of %v within 20 s", servers)
 }
 
+// awaitWaitingCalls waits until so many calls wait at the store for changes, and fails after 20 seconds.
+func (d *deployment) awaitWaitingCalls(count int) {
+	d.t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for d.store.WaitingCalls() < count {
+		if time.Now().After(deadline) {
+			d.t.Fatalf("%d calls wait at the store, want %d", d.store.WaitingCalls(), count)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // awaitUnderLoad sends groups of concurrent requests to an instance until one is answered by a server, and fails after
 // 20 seconds. A group is larger than the slots of one server.
 func (d *deployment) awaitUnderLoad(i *instance, server string) {
--- a/sidecar/store_test.go
+++ b/sidecar/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -79,3 +80,30 @@
 	d.await(hub, "server-0")
 	d.await(desk, "server-0")
 }
+
+// livenessBound is the time after the end of a fault of the store within which all daemons handle requests by the newest
+// configuration.
+const livenessBound = 3 * time.Second
+
+func TestAConfigurationWhoseAnswersTheStoreLostIsInForceInTime(t *testing.T) {
+	for _, silence := range []time.Duration{200 * time.Millisecond, 1500 * time.Millisecond, 4500 * time.Millisecond} {
+		t.Run(silence.String(), func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.configure(1, "desk")
+			desk, hub := d.add("desk"), d.add("hub")
+			d.await(desk, "server-0")
+			d.await(hub, "server-0")
+			d.awaitWaitingCalls(2)
+			d.store.SetFault(platform.Fault{Mode: platform.ModeSilent})
+			d.configure(2, "hub")
+			time.Sleep(silence)
+			d.store.SetFault(platform.Fault{Mode: platform.ModeNone})
+			end := time.Now()
+			d.await(desk, "server-1")
+			d.await(hub, "server-1")
+			took := time.Since(end)
+			assert.Check(t, took <= livenessBound, "in force %v after the end of the silence", took)
+		})
+	}
+}
--- a/standin/platform/fault.go
+++ b/standin/platform/fault.go
@@ -31,6 +31,9 @@
 	ModeDelayedWrite Mode = "late"
 	// ModeTruncated answers each read of an object with its first half.
 	ModeTruncated Mode = "torn"
+	// ModeSilent gives no response to a call that arrives, and none to a waiting call whose response becomes due. Nothing
+	// more comes on the connection of such a call, also after the fault.
+	ModeSilent Mode = "silent"
 )
 
 // Fault says how calls fail, which calls and how many.
@@ -58,6 +61,11 @@
 	return 0
 }
 
+// isFor reports whether the fault is for the calls of a caller.
+func (f Fault) isFor(caller string) bool {
+	return len(f.Callers) == 0 || slices.Contains(f.Callers, caller)
+}
+
 // faults holds the active fault; it is safe for concurrent use.
 type faults struct {
 	mu      sync.Mutex
@@ -77,8 +85,7 @@
 	defer f.mu.Unlock()
 	active := f.current
 	isForWrites := active.Mode == ModeLostAnswer || active.Mode == ModeDelayedWrite
-	isForOtherCallers := len(active.Callers) > 0 && !slices.Contains(active.Callers, caller)
-	if isForWrites && !isWrite || active.Mode == ModeTruncated && !isObjectRead || isForOtherCallers {
+	if isForWrites && !isWrite || active.Mode == ModeTruncated && !isObjectRead || !active.isFor(caller) {
 		return Fault{Mode: ModeNone}
 	}
 	if active.Count > 0 {
@@ -90,6 +97,13 @@
 	return active
 }
 
+// isSilentTo reports whether a response to a caller that is due now is lost.
+func (f *faults) isSilentTo(caller string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current.Mode == ModeSilent && f.current.isFor(caller)
+}
+
 // SetFault replaces the active fault; the calls that follow fail accordingly.
 func (s *Server) SetFault(f Fault) { s.faults.set(f) }
 
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -52,6 +53,8 @@
 	partLimits map[string]*rate.Limiter
 	writeCalls atomic.Int64
 	readCalls  atomic.Int64
+	// waitingCalls is the number of calls that wait for changes.
+	waitingCalls atomic.Int64
 }
 
 // Counts are the numbers of calls since the start. They include calls that were refused because of a limit of the
@@ -68,6 +71,9 @@
 	return Counts{Writes: s.writeCalls.Load(), Reads: s.readCalls.Load()}
 }
 
+// WaitingCalls returns the number of calls that wait for changes at this moment.
+func (s *Server) WaitingCalls() int { return int(s.waitingCalls.Load()) }
+
 // Compact removes the history of changes. A feed from an earlier version then gets status 410, and its client has to
 // list the table again.
 func (s *Server) Compact() {
@@ -143,6 +149,8 @@
 		time.Sleep(fault.Delay)
 	case ModeReset:
 		panic(http.ErrAbortHandler)
+	case ModeSilent:
+		leaveUnanswered(r)
 	case ModeDelayedWrite:
 		time.AfterFunc(fault.Delay, func() { s.dispatch(r, body) })
 		panic(http.ErrAbortHandler)
@@ -151,12 +159,21 @@
 	if fault.Mode == ModeLostAnswer {
 		panic(http.ErrAbortHandler)
 	}
+	if s.faults.isSilentTo(callerAddress(r)) {
+		leaveUnanswered(r)
+	}
 	if fault.Mode == ModeTruncated {
 		a.body = a.body[:len(a.body)/2]
 	}
 	a.write(w)
 }
 
+// leaveUnanswered keeps the connection of a call open without a response until the caller closes it.
+func leaveUnanswered(r *http.Request) {
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 // refuse answers a call that has no effect.
 func (s *Server) refuse(w http.ResponseWriter, status int) {
 	s.mu.Lock()
@@ -301,16 +318,26 @@
 		if !ok || len(p.Rows) > 0 {
 			return a
 		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return a
-		case <-r.Context().Done():
+		if !s.awaitChange(r.Context(), changed, timer.C) {
 			return a
 		}
 	}
 }
 
+// awaitChange waits for a change, and reports false if the wait or the call ended first.
+func (s *Server) awaitChange(ctx context.Context, changed <-chan struct{}, end <-chan time.Time) bool {
+	s.waitingCalls.Add(1)
+	defer s.waitingCalls.Add(-1)
+	select {
+	case <-changed:
+		return true
+	case <-end:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // answer is the HTTP answer to a call.
 type answer struct {
 	status      int
