fix(discovery): ask the store beside a call that waits, unless another daemon has just done so

What callers saw: requests handled as an older version says (404 on a new route, the old service), up to 20 s after the acknowledgement of a newer version and long after the end of a fault of the store. Cause: a relay waits up to 22 s for changes. A response that is lost leaves that connection silent, no call fails, and the others take a relay that answers probes for one that follows the store. Class: silence taken for the absence of news. Change: each daemon keeps the latest moment at which its configuration was known to be the newest at the store. A call that the store answers at once raises it; probes carry its age, and a daemon takes it over from one that has no newer version than itself. The first relay of the mesh asks the store once that is older than half of livenessS, beside the call that waits; the other relays do so a second or two later, when they have not heard of it. A check that fails makes the relay one that can't read the store; one that finds changes is told to all daemons. A relay that gets a version from another daemon checks its own call. Metric configuration.age. Why this works: it does not matter which call, connection or machine is silent; what is bounded is the age of the knowledge.

--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"siskinspar.example/sidecar/discovery"
 	"siskinspar.example/sidecar/message"
 )
 
@@ -55,7 +56,10 @@
 
 // Probe implements discovery.StateExchange.
 func (s *Sidecar) Probe(to string) message.Probe {
+	// The age is read before the version, so that it holds for it.
+	age := s.freshness.Age(time.Now())
 	return message.Probe{
+		Age: age, IsAgeKnown: age < discovery.UnknownAge,
 		Record: s.record(), Version: s.configuration.Version(), StoreEra: s.storeEra.Newest(), Known: s.members.Len(),
 		Crashes: s.quarantine.Recent(time.Now()), Left: s.members.LastDraining(to), Limited: s.members.PreviousLimit(time.Now(), to), ClientRoutes: s.entry.ClientRoutes(),
 	}
--- /dev/null
+++ b/sidecar/discovery/await_test.go
@@ -0,0 +1,99 @@
+package discovery_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"siskinspar.example/sidecar/discovery"
+)
+
+// checkAfter is the age of the configuration from which the followers of these tests ask the store beside a call that
+// waits.
+const checkAfter = 1500 * time.Millisecond
+
+// outcome is what a follower told of a scripted store.
+type outcome struct {
+	keys     []string
+	lost     int
+	failures []error
+}
+
+// followWithChecks runs a follower for a span of virtual time. During is called once it runs.
+func followWithChecks(t *testing.T, s *scriptedStore, span time.Duration, during func(*discovery.Follower)) outcome {
+	t.Helper()
+	var o outcome
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &discovery.Follower{
+			Table: "t", Store: s, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Freshness: &discovery.Freshness{}, CheckAfter: func() time.Duration { return checkAfter },
+			OnRows: func(rows []discovery.Row) { o.keys = append(o.keys, rows[0].Key) },
+			OnLost: func() { o.lost++ },
+			OnResult: func(err error) {
+				if err != nil {
+					o.failures = append(o.failures, err)
+				}
+			},
+		}
+		f.Run(ctx)
+		during(f)
+		time.Sleep(span)
+		cancel()
+		<-f.Done()
+	})
+	return o
+}
+
+func TestFollowerFindsAChangeWhoseAnswerWasLost(t *testing.T) {
+	s := &scriptedStore{
+		lists: []step{{page: page(5, "a")}},
+		feeds: []step{{page: page(5)}, {isSilent: true}, {page: page(6, "b")}, {page: page(6)}},
+	}
+	o := followWithChecks(t, s, 3*time.Second, func(*discovery.Follower) {})
+	assert.DeepEqual(t, o.keys, []string{"a", "b"})
+	assert.Equal(t, o.lost, 1, "the other daemons have to learn that the store does not tell of changes")
+	assert.Equal(t, len(o.failures), 0)
+}
+
+func TestFollowerNoticesThatTheStoreIsSilentWhileItWaits(t *testing.T) {
+	s := &scriptedStore{lists: []step{{page: page(5, "a")}}, feeds: []step{{page: page(5)}, {isSilent: true}}}
+	o := followWithChecks(t, s, 4*time.Second, func(*discovery.Follower) {})
+	assert.Assert(t, len(o.failures) > 0, "no failure within 4 s")
+	assert.Assert(t, errors.Is(o.failures[0], context.DeadlineExceeded))
+}
+
+func TestFollowerAsksNothingBesideAWaitWhileOthersShowThatTheConfigurationIsCurrent(t *testing.T) {
+	s := &scriptedStore{lists: []step{{page: page(5, "a")}}, feeds: []step{{page: page(5)}}}
+	followWithChecks(t, s, time.Second, func(f *discovery.Follower) {
+		for range 10 {
+			time.Sleep(time.Second)
+			f.Freshness.Record(time.Now())
+		}
+	})
+	assert.Equal(t, s.calls, 3, "a list, a call that does not wait, and one that waits")
+}
+
+func TestFollowerAsksAboutOncePerAgeWhileNobodyElseDoes(t *testing.T) {
+	s := &scriptedStore{lists: []step{{page: page(5, "a")}}, feeds: []step{{page: page(5)}}}
+	followWithChecks(t, s, 15*time.Second, func(*discovery.Follower) {})
+	assert.Assert(t, s.calls >= 10 && s.calls <= 13, "%d calls in 15 s", s.calls)
+}
+
+func TestFollowerChecksAWaitWhenAnotherDaemonShowsAChange(t *testing.T) {
+	s := &scriptedStore{
+		lists: []step{{page: page(5, "a")}},
+		feeds: []step{{page: page(5)}, {isSilent: true}, {page: page(6, "b")}, {page: page(6)}},
+	}
+	o := followWithChecks(t, s, 100*time.Millisecond, func(f *discovery.Follower) {
+		time.Sleep(time.Second)
+		f.Check()
+	})
+	assert.DeepEqual(t, o.keys, []string{"a", "b"})
+}
--- a/sidecar/discovery/follower.go
+++ b/sidecar/discovery/follower.go
@@ -39,6 +39,13 @@
 	OnRows func(rows []Row)
 	// OnResult is called after each call of the store with its error, or nil; it is set before Run, or nil.
 	OnResult func(err error)
+	// OnLost is called after OnRows for rows of which a waiting call was not told; it is set before Run, or nil.
+	OnLost func()
+	// Freshness is raised by each call that the store answers at once; it is set before Run, or nil.
+	Freshness *Freshness
+	// CheckAfter returns the age of Freshness from which the follower asks the store beside a call that waits; it is set
+	// before Run, or nil for never.
+	CheckAfter func() time.Duration
 
 	isDown  bool
 	backoff time.Duration
@@ -49,7 +56,9 @@
 	isQuiet bool
 	// isListedAgain is true from a List because of the history of the store until a Feed succeeds.
 	isListedAgain bool
-	done          chan struct{}
+	// check holds an element once Check was called.
+	check chan struct{}
+	done  chan struct{}
 }
 
 // position is a place in the history of the store. Only places of one era can be compared.
@@ -58,6 +67,13 @@
 // Run starts a goroutine that follows the table until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.done = make(chan struct{})
+	f.check = make(chan struct{}, 1)
+	if f.Era == nil {
+		f.Era = &store.Era{}
+	}
+	if f.Freshness == nil {
+		f.Freshness = &Freshness{}
+	}
 	go func() {
 		defer close(f.done)
 		f.follow(ctx)
@@ -67,16 +83,21 @@
 // Done returns a channel that is closed once the goroutine of Run has ended.
 func (f *Follower) Done() <-chan struct{} { return f.done }
 
+// Check makes the follower ask the store beside a call that waits, since another daemon has shown that there are changes.
+func (f *Follower) Check() {
+	select {
+	case f.check <- struct{}{}:
+	default:
+	}
+}
+
 // follow lists the table, then passes on its changes. It lists the table again when the store no longer has the history
 // after its position, or has another history.
 func (f *Follower) follow(ctx context.Context) {
 	f.backoff = initialBackoff
-	if f.Era == nil {
-		f.Era = &store.Era{}
-	}
 	for ctx.Err() == nil {
 		started := time.Now()
-		page, err := f.fetch(ctx)
+		found, err := f.fetch(ctx)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			f.Logger.Info("discovery: store lacks the history", "table", f.Table, "position", f.position.version, "era", f.position.era)
@@ -92,13 +113,23 @@
 			f.pause(ctx)
 		default:
 			f.report(nil)
-			f.receive(ctx, page)
+			f.receive(ctx, found)
 		}
 	}
 }
 
+// reading is a page as one call of the store returned it.
+type reading struct {
+	page Page
+	// asked is when the call was made that the store answered at once, or zero for a call that waited.
+	asked time.Time
+	// isLost is true if the page was read beside a call that waited for its changes in vain.
+	isLost bool
+}
+
 // receive passes on the rows of a page and goes on after it, unless the store went back since the page before.
-func (f *Follower) receive(ctx context.Context, p Page) {
+func (f *Follower) receive(ctx context.Context, r reading) {
+	p := r.page
 	f.logPage(p)
 	f.markUp()
 	f.Era.Record(p.Era)
@@ -115,6 +146,12 @@
 	f.position = position{era: p.Era, version: p.Version}
 	if len(p.Rows) > 0 {
 		f.OnRows(p.Rows)
+	}
+	f.Freshness.Record(r.asked)
+	if r.isLost && f.OnLost != nil {
+		f.OnLost()
+	}
+	if len(p.Rows) > 0 {
 		sleep(ctx, batchDelay)
 	}
 }
@@ -134,29 +171,25 @@
 	f.isListedAgain = true
 }
 
-// fetch lists the table if that is due, and otherwise waits for changes after the position, or until a newer era is known.
-func (f *Follower) fetch(ctx context.Context) (Page, error) {
-	if !f.isListed {
-		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		return f.Store.List(callCtx, f.Table)
-	}
-	wait, timeout := feedWait, feedWait+feedGrace
-	if f.isDown || !f.isQuiet {
-		// A store that accepts calls without answering them could leave a waiting Feed unanswered long after it
-		// recovered, and one that went back during batchDelay would not answer it before it has passed the position.
-		wait, timeout = 0, readTimeout
+// fetch lists the table if that is due, and otherwise reads the changes after the position. It waits for changes only if
+// the call before was answered and told of none: a store that went back during batchDelay would not answer a call that
+// waits before it has passed the position.
+func (f *Follower) fetch(ctx context.Context) (reading, error) {
+	if f.isListed && f.isQuiet && !f.isDown {
+		return f.await(ctx)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	f.clearCheck()
+	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	go func() {
-		select {
-		case <-f.Era.After(f.position.era):
-			cancel()
-		case <-callCtx.Done():
-		}
-	}()
-	return f.Store.Feed(callCtx, f.Table, f.position.version, wait)
+	asked := time.Now()
+	var p Page
+	var err error
+	if f.isListed {
+		p, err = f.Store.Feed(callCtx, f.Table, f.position.version, 0)
+	} else {
+		p, err = f.Store.List(callCtx, f.Table)
+	}
+	return reading{page: p, asked: asked}, err
 }
 
 // pause waits before the next call, each time longer until a Feed succeeds.
--- a/sidecar/discovery/prober.go
+++ b/sidecar/discovery/prober.go
@@ -70,7 +70,10 @@
 	Pool          *peer.Pool
 	StateExchange StateExchange
 	Configuration Configuration
-	Logger        *slog.Logger
+	// Freshness is raised by the replies of daemons that have no newer configuration than this one; it is set before Run,
+	// or nil.
+	Freshness *Freshness
+	Logger    *slog.Logger
 	// Relays returns the addresses of the relays of this data centre, which are probed in each round.
 	Relays func() []string
 
@@ -95,6 +98,9 @@
 // Run starts a goroutine that probes until the context ends.
 func (p *Prober) Run(ctx context.Context) {
 	p.ctx = ctx
+	if p.Freshness == nil {
+		p.Freshness = &Freshness{}
+	}
 	p.inFlight = map[string]bool{}
 	p.fetching = map[bool]int{}
 	p.probeAll = make(chan struct{}, 1)
@@ -247,6 +253,7 @@
 	if err == nil {
 		p.StateExchange.ReceiveProbe(reply)
 		p.catchUp(ctx, address, reply)
+		p.recordAge(started, reply)
 		return
 	}
 	// After a pause of this process the failure says nothing about the other daemon.
@@ -261,6 +268,14 @@
 	}
 }
 
+// recordAge records that the configuration in force here was the newest when the one of another daemon was. The age in the
+// reply counts from the start of the probe, since the reply may have been under way for long.
+func (p *Prober) recordAge(started time.Time, reply message.Probe) {
+	if reply.IsAgeKnown && reply.Version <= p.Configuration.Version() {
+		p.Freshness.Record(started.Add(-reply.Age))
+	}
+}
+
 // catchUp fetches the configuration from a daemon with a newer one, and the list of daemons from one that knows more.
 func (p *Prober) catchUp(ctx context.Context, address string, reply message.Probe) {
 	if reply.Version > p.Configuration.Version() {
--- a/sidecar/discovery/prober_test.go
+++ b/sidecar/discovery/prober_test.go
@@ -93,3 +93,54 @@
 		t.Fatal("the change was not told within 20 s")
 	}
 }
+
+// agedDaemon is a daemon that replies to each probe with a version and its age.
+type agedDaemon struct{ reply message.Probe }
+
+func (a *agedDaemon) Probe(_ *message.Probe, reply *message.Probe) error {
+	*reply = a.reply
+	return nil
+}
+
+func TestOnlyADaemonWithoutANewerConfigurationShowsThatTheOwnOneIsCurrent(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		reply   message.Probe
+		isKnown bool
+	}{
+		{"the same version", message.Probe{Age: time.Second, IsAgeKnown: true}, true},
+		{"a newer version", message.Probe{Version: 7, Age: time.Second, IsAgeKnown: true}, false},
+		{"a daemon of a release without ages", message.Probe{}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address := loopback.Address()
+			logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+			server := &peer.Server{Address: address, Service: &agedDaemon{c.reply}, Logger: logger}
+			assert.NilError(t, server.Run())
+			defer server.Stop(0)
+			members := member.NewTable()
+			members.Add(address, "a")
+			freshness := &discovery.Freshness{}
+			p := &discovery.Prober{
+				Address: "127.0.0.1:1", DataCentre: "a", Members: members, Pool: &peer.Pool{}, StateExchange: &ownState{}, Configuration: noConfiguration{}, Logger: logger,
+				Relays: func() []string { return nil }, Freshness: freshness,
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			p.Run(ctx)
+			started := time.Now()
+			p.ProbeAll()
+			if !c.isKnown {
+				time.Sleep(300 * time.Millisecond)
+				assert.Equal(t, freshness.Age(time.Now()), discovery.UnknownAge)
+				return
+			}
+			for freshness.Age(time.Now()) == discovery.UnknownAge && time.Since(started) < 10*time.Second {
+				time.Sleep(10 * time.Millisecond)
+			}
+			now := time.Now()
+			age := freshness.Age(now)
+			assert.Assert(t, age >= time.Second && age <= time.Second+now.Sub(started), "age %v", age)
+		})
+	}
+}
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"siskinspar.example/sidecar/discovery"
@@ -53,10 +54,13 @@
 		f.stop = stop
 		follower := &discovery.Follower{
 			Table: s.Platform.ConfigurationTable, Store: s.Platform.Store, Era: &s.storeEra, Logger: s.Logger, OnRows: s.installRows, OnResult: s.recordStoreResult,
+			OnLost: s.prober.ProbeAll, Freshness: &s.freshness, CheckAfter: s.checkAfter,
 		}
 		follower.Run(following)
+		s.follower.Store(follower)
 		s.Logger.Info("daemon: follows the store", "relays", s.relays(now))
 	case !mustFollow && f.stop != nil:
+		s.follower.Store(nil)
 		f.stop()
 		f.stop = nil
 		s.Logger.Info("daemon: leaves the store to the relays", "relays", s.relays(now))
@@ -70,6 +74,17 @@
 	return s.selector.MustFollow(now, s.neighbours(), s.isStoreDown(now))
 }
 
+// checkAfter returns the age of the configuration from which this daemon asks the store beside a call that waits.
+func (s *Sidecar) checkAfter() time.Duration {
+	now := time.Now()
+	centres := s.members.ReadingDataCentres()
+	if !s.isStoreDown(now) {
+		centres = append(centres, s.Settings.DataCentre)
+		slices.Sort(centres)
+	}
+	return s.selector.CheckAfter(s.Settings.Liveness, centres, s.relays(now))
+}
+
 // relays returns the addresses of the relays of this data centre.
 func (s *Sidecar) relays(now time.Time) []string {
 	return s.selector.Relays(s.neighbours(), s.isStoreDown(now))
--- a/sidecar/member/table.go
+++ b/sidecar/member/table.go
@@ -93,6 +93,23 @@
 	return found
 }
 
+// ReadingDataCentres returns the data centres of the daemons that are neither stopping nor unreachable and can read the
+// store, in ascending order.
+func (t *Table) ReadingDataCentres() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found []string
+	for _, e := range t.members {
+		if !e.isKnown || e.record.IsStopping || e.record.IsStoreDown || !e.unreachableSince.IsZero() {
+			continue
+		}
+		if i, ok := slices.BinarySearch(found, e.record.DataCentre); !ok {
+			found = slices.Insert(found, i, e.record.DataCentre)
+		}
+	}
+	return found
+}
+
 // Len returns the number of daemons in the table.
 func (t *Table) Len() int {
 	t.mu.Lock()
--- a/sidecar/message/message.go
+++ b/sidecar/message/message.go
@@ -135,6 +135,9 @@
 	Record member.Record
 	// Version is the version of the configuration in force at the sender, or 0.
 	Version route.Version
+	// Age is how long ago Version was last known to be the newest at the store, if IsAgeKnown is true.
+	Age        time.Duration
+	IsAgeKnown bool
 	// StoreEra is the newest era of the store that the sender knows of, as defined at store.Era.
 	StoreEra uint64
 	// Crashes are the recent crashes that the sender knows.
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -82,7 +82,7 @@
 func (d *deployment) add(service string) *instance {
 	d.t.Helper()
 	i := &instance{settings: &settings.Settings{
-		Instance: fmt.Sprint(len(d.instances)), DataCentre: "zone", Service: service, Store: d.storeAddr, Grace: 4 * time.Second,
+		Instance: fmt.Sprint(len(d.instances)), DataCentre: "zone", Service: service, Store: d.storeAddr, Grace: 4 * time.Second, Liveness: settings.DefaultLiveness,
 		Clients: loopback.Address(), Daemons: loopback.Address(), Readiness: loopback.Address(), Announcements: loopback.Address(),
 		RetryAllowance: placement.RetryAllowance{Ratio: 0.2, Slack: 60, Window: 10 * time.Second},
 	}}
--- a/sidecar/relay/selector.go
+++ b/sidecar/relay/selector.go
@@ -12,6 +12,11 @@
 	contactTimeout = 2 * time.Second
 	// contactJitter is the largest addition to contactTimeout; it spreads the calls of daemons that lose the same relays.
 	contactJitter = time.Second
+	// checkDelay is the longest time until a daemon learns from the probes of a round what another daemon knows; relays
+	// beside the first one wait so much longer before they ask the store.
+	checkDelay = 1100 * time.Millisecond
+	// checkJitter is the largest addition to checkDelay; it spreads the calls of relays.
+	checkJitter = time.Second
 	// holdTime is how long a daemon goes on following the store once it need not any more.
 	holdTime = 3 * time.Second
 )
@@ -81,6 +86,18 @@
 	return !s.neededAt.IsZero() && now.Sub(s.neededAt) < holdTime
 }
 
+// CheckAfter returns the age of the configuration from which this daemon, as a relay, asks the store beside a call that
+// waits there for changes. Bound is the time within which all daemons have to notice what the store did not tell them; half
+// of it is left to spread a configuration. Centres are the data centres with a daemon that can read the store, in ascending
+// order: the first relay of the first of them asks in time, and the others only if they don't hear of that.
+func (s *Selector) CheckAfter(bound time.Duration, centres, relays []string) time.Duration {
+	isFirst := len(centres) > 0 && centres[0] == s.DataCentre && len(relays) > 0 && relays[0] == s.Address
+	if isFirst {
+		return bound / 2
+	}
+	return bound/2 + checkDelay + time.Duration(s.Jitter*float64(checkJitter))
+}
+
 func (s *Selector) isNeeded(now time.Time, alive []Member, isStoreDown bool) bool {
 	contacts := map[string]time.Time{}
 	for _, m := range alive {
--- a/sidecar/relay/selector_test.go
+++ b/sidecar/relay/selector_test.go
@@ -309,3 +309,20 @@
 	others[2].IsStoreDown = true
 	assert.Equal(t, len(s.Relays(others, true)), 2, "if none can read it, some have to try")
 }
+
+func TestTheFirstRelayOfTheMeshChecksBeforeTheOthers(t *testing.T) {
+	const bound = 3 * time.Second
+	s := &relay.Selector{Address: "d0", DataCentre: "b", Jitter: 0.5}
+	first := s.CheckAfter(bound, []string{"b", "c"}, []string{"d0", "d1"})
+	assert.Equal(t, first, bound/2)
+	for name, other := range map[string]time.Duration{
+		"second relay of its data centre":                   s.CheckAfter(bound, []string{"b", "c"}, []string{"d1", "d0"}),
+		"another data centre comes first":                   s.CheckAfter(bound, []string{"a", "b"}, []string{"d0", "d1"}),
+		"no daemon of its data centre can read the store":   s.CheckAfter(bound, []string{"c"}, []string{"d0", "d1"}),
+		"no daemon that is known of can read the store":     s.CheckAfter(bound, nil, []string{"d0", "d1"}),
+		"not a relay any more, but still follows the store": s.CheckAfter(bound, []string{"b"}, []string{"d1", "d2"}),
+	} {
+		// A round of probes takes at most 1.05 s, and the first relay must have had time to tell of its call.
+		assert.Assert(t, other > first+1050*time.Millisecond && other <= bound+time.Second, "%s: %v", name, other)
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -75,7 +75,11 @@
 	// storeFailedAt is when the store last failed a read, by the steady clock, or nil after a success.
 	storeFailedAt atomic.Pointer[time.Time]
 	// storeEra is the newest era of the store that this daemon or another one has read.
-	storeEra   store.Era
+	storeEra store.Era
+	// freshness says since when the configuration in force may be older than that at the store.
+	freshness discovery.Freshness
+	// follower is the follower of the store, or nil while there is none.
+	follower   atomic.Pointer[discovery.Follower]
 	ingress    *ingress.Server
 	peers      *peer.Server
 	servers    []*http.Server
@@ -154,7 +158,7 @@
 
 func (s *Sidecar) startProber(ctx context.Context) {
 	s.prober = &discovery.Prober{
-		Address: s.Settings.Daemons, DataCentre: s.Settings.DataCentre, Members: s.members, Pool: s.pool, StateExchange: s, Configuration: s.configuration, Logger: s.Logger,
+		Address: s.Settings.Daemons, DataCentre: s.Settings.DataCentre, Members: s.members, Pool: s.pool, StateExchange: s, Configuration: s.configuration, Freshness: &s.freshness, Logger: s.Logger,
 		Relays: func() []string { return s.relays(time.Now()) },
 	}
 	s.addSeeds(s.Settings.Seeds)
@@ -264,8 +268,11 @@
 const storeSource = "store"
 
 // announceConfiguration tells the other daemons of this data centre of a new configuration, unless it came from one of
-// them: that one tells them itself.
+// them: that one tells them itself. If it came from another daemon, the store may have failed to tell this one.
 func (s *Sidecar) announceConfiguration(source string) {
+	if f := s.follower.Load(); f != nil && source != storeSource {
+		f.Check()
+	}
 	if source == storeSource || s.members.DataCentre(source) != s.Settings.DataCentre {
 		s.prober.ProbeNeighbours()
 	}
@@ -305,9 +312,11 @@
 	version := metrics.NewFunctionalGauge(func() int64 { return int64(s.configuration.Version()) })
 	refusals := metrics.NewFunctionalGauge(s.configuration.Refusals)
 	era := metrics.NewFunctionalGauge(func() int64 { return int64(s.storeEra.Newest()) })
+	age := metrics.NewFunctionalGauge(func() int64 { return s.freshness.Age(time.Now()).Milliseconds() })
 	// The registry is new, so the names are free.
 	_ = s.registry.Register("configuration.version", version)
 	_ = s.registry.Register("configuration.refused", refusals)
+	_ = s.registry.Register("configuration.age", age)
 	_ = s.registry.Register("store.era", era)
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.WriteOnce(s.registry, w) })
 }
