fix(rowstore): one row that can't be read does not hide the others

An answer of the store was decoded as a whole, and Range of the version log's table failed as a whole, so one odd row kept a daemon from every row of its table for as long as the row is there; the processes did not end. Cause: an answer is taken for the work of one writer. Class: all or nothing where parts are independent. Change: rows are decoded one by one; each that can't be read is left out with a log line. Keys in the table of daemons that are no address of a listener (port 0, unspecified, multicast) are skipped. A change that lacks its row is still found by the reader of the log, which wants consecutive versions.

--- a/daemon/part/store/part.go
+++ b/daemon/part/store/part.go
@@ -32,7 +32,7 @@
 	close(p.done)
 	client := rowstore.NewClient(c.Settings.Platform.Address)
 	c.StoreEra = client.Era()
-	c.VersionLog = &record.Log{Table: rowstore.Table{Client: client}, Objects: rowstore.Objects{Client: client}}
+	c.VersionLog = &record.Log{Table: rowstore.Table{Client: client, Logger: c.Logger}, Objects: rowstore.Objects{Client: client}}
 	return nil
 }
 
--- a/sidecar/discovery/follower.go
+++ b/sidecar/discovery/follower.go
@@ -198,8 +198,12 @@
 	f.backoff = min(2*f.backoff, maximumBackoff)
 }
 
-// logPage logs the page of a store that comes back after an outage, or that has another era than the one before.
+// logPage logs the rows that can't be read, and the page of a store that comes back after an outage, or that has another
+// era than the one before.
 func (f *Follower) logPage(p Page) {
+	for _, err := range p.Odd {
+		f.Logger.Warn("discovery: row left out", "table", f.Table, "error", err)
+	}
 	if f.isDown || p.Era != f.position.era {
 		f.Logger.Info("discovery: read after a change of the store", "table", f.Table, "position", f.position.version, "version", p.Version, "era", p.Era, "previous-era", f.position.era, "rows", len(p.Rows))
 	}
--- a/sidecar/discovery/store.go
+++ b/sidecar/discovery/store.go
@@ -22,6 +22,8 @@
 type Page struct {
 	Rows    []Row
 	Version uint64
+	// Odd says of each row that can't be read why it was left out of Rows.
+	Odd []error
 	// Era is the era of the store, as defined at store.Era; versions of different eras can't be compared.
 	Era uint64
 }
--- a/sidecar/register.go
+++ b/sidecar/register.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"siskinspar.example/sidecar/discovery"
 )
 
@@ -29,12 +31,24 @@
 	return r.DataCentre
 }
 
+// checkAddress returns an error unless a daemon can be reached at an address.
+func checkAddress(address string) error {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return err
+	}
+	if a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
+		return eris.Errorf("%s is not an address of one listener", address)
+	}
+	return nil
+}
+
 // addRows adds the daemons of the rows to the table of members and probes at once if one is new. It reports whether the
 // row of this daemon is among them.
 func (s *Sidecar) addRows(rows []discovery.Row) (hasOwn bool) {
 	for _, r := range rows {
-		if _, err := netip.ParseAddrPort(r.Key); err != nil {
-			s.Logger.Warn("daemon: key of a store row is not an address", "key", r.Key, "error", err)
+		if err := checkAddress(r.Key); err != nil {
+			s.Logger.Warn("daemon: key of a store row is not the address of a daemon", "key", r.Key, "error", err)
 			continue
 		}
 		dataCentre := registeredDataCentre(r.Value)
@@ -109,6 +123,9 @@
 	s.retryStoreCall(ctx, "read the rows of the daemons", func(ctx context.Context) error {
 		page, err := s.Platform.Store.List(ctx, membersTable)
 		if err == nil {
+			for _, odd := range page.Odd {
+				s.Logger.Warn("daemon: row left out", "table", membersTable, "error", odd)
+			}
 			hasOwn, era = s.addRows(page.Rows), page.Era
 		}
 		return err
--- a/sidecar/store_test.go
+++ b/sidecar/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -107,3 +108,24 @@
 		})
 	}
 }
+
+func TestADaemonFindsTheOthersBesideOddRows(t *testing.T) {
+	d := newDeployment(t)
+	d.configure(1, "desk")
+	for key, value := range map[string]string{
+		"":                "{}",
+		"127.0.0.1:0":     `{"dataCentre":"zone"}`,
+		"127.0.0.1:99999": `{"dataCentre":"zone"}`,
+		"127.0.0.1:9":     strings.Repeat("[", 20000),
+		"0.0.0.0:9":       `{"dataCentre":"zone"}`,
+		"127.0.0.1:10":    `{"dataCentre":1e999}`,
+		"not an address":  "\xff\x00",
+		"127.0.0.1:11":    `{"dataCentre":{}}`,
+		"127.0.0.1":       `[]`,
+	} {
+		d.store.PutAsOperator("daemons", key, []byte(value))
+	}
+	desk, hub := d.add("desk"), d.add("hub")
+	d.await(desk, "server-0")
+	d.await(hub, "server-0")
+}
