fix(owner): ignore announcements that the server beside the daemon can't have made

But a well-formed one with a later start, or of a service that is not that of the instance, took the place of the server: its true announcements were then acknowledged and ignored, so that it got nothing, and its drain was not noted. Cause: the latest start wins, whoever says so. Class: a value of another writer that is trusted beyond what can be true. Conclusion: an odd one with the right service and a start within the minute can't be told from a restart; open.

--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -65,6 +65,8 @@
 	Headers Headers
 	// Address is the host and port at which other daemons reach this one.
 	Address string
+	// Service is the service of the backend server beside the daemon; announcements of others are ignored. Empty means any.
+	Service string
 	// MaximumConnections returns the number of connections that a backend server of a service accepts.
 	MaximumConnections func(service string) int
 	// Incarnation is the start of this daemon in milliseconds since 1970, as in its record.
@@ -224,61 +226,6 @@
 	return longest
 }
 
-// Announce applies an announcement of the backend server and reports whether its ID, state or incarnation changed.
-//
-// An announcement of an earlier incarnation or with an earlier sequence number changes nothing, and neither does any
-// announcement of an incarnation that drains.
-func (o *Owner) Announce(s member.Server) bool {
-	o.mu.Lock()
-	previous := o.server
-	if o.hasUnmatchedDrain(s) {
-		s.State = member.Draining
-	}
-	switch {
-	case previous.ID != "" && s.Born < previous.Born:
-		o.mu.Unlock()
-		return false
-	case s.Born == previous.Born && s.ID == previous.ID:
-		if previous.State == member.Draining || s.Sequence <= previous.Sequence {
-			o.mu.Unlock()
-			return false
-		}
-		o.server = s
-	default:
-		o.replaceServer(s)
-	}
-	o.slots.SetSlots(s.Slots + o.ExtraRequests)
-	if s.State == member.Draining {
-		o.notify(o.slots.Drain())
-	}
-	o.unreachableUntil = time.Time{}
-	isChanged := previous.State != s.State || previous.ID != s.ID || previous.Born != s.Born
-	o.mu.Unlock()
-	if isChanged {
-		o.Logger.Info("owner: backend server announced", "server", s.ID, "service", s.Service, "state", s.State.String(), "born", s.Born, "sequence", s.Sequence, "slots", s.Slots)
-		o.OnChange()
-	}
-	return isChanged
-}
-
-// replaceServer switches to another incarnation of the backend server: it refuses the waiting requests and drops the
-// connections and statistics of the previous one. The caller holds the lock.
-func (o *Owner) replaceServer(s member.Server) {
-	o.notify(o.slots.Reset(s.Slots + o.ExtraRequests))
-	if o.client != nil {
-		o.client.Close()
-	}
-	o.failures = failures{}
-	o.rateLimit = slot.Unlimited
-	o.hasNotice = false
-	o.client = &upstream.Client{
-		Address: s.Address, MaximumConnections: o.MaximumConnections(s.Service), IDHeader: o.Headers.IDHeader(), OnDial: o.OnDial,
-		MaximumBodySize: o.MaximumAnswerSize, Memory: o.Memory,
-	}
-	o.server = s
-	o.applyPreviousLimit()
-}
-
 // notify passes the status changes of jobs to the waiting requests. A slot that was granted to a request which
 // no longer waits is released at once. The caller holds the lock.
 func (o *Owner) notify(changes []slot.StatusChange) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -137,7 +137,7 @@
 
 func (s *Sidecar) startOwner() {
 	s.owner = &owner.Owner{
-		Logger: s.Logger, Headers: s.Platform.Headers, Address: s.Settings.Daemons, Incarnation: s.incarnation, ExtraRequests: extraRequests, OnChange: s.sendRecord, Link: s.pacer,
+		Logger: s.Logger, Headers: s.Platform.Headers, Address: s.Settings.Daemons, Service: s.Settings.Service, Incarnation: s.incarnation, ExtraRequests: extraRequests, OnChange: s.sendRecord, Link: s.pacer,
 		MaximumConnections: func(service string) int {
 			if t := s.configuration.Table(); t != nil {
 				return t.MaximumConnections(service)
