fix(owner): apply an acknowledged drain whatever its sequence number

Cause: announcements apply in the order of their sequence numbers, a drain too. Change: a drain of the present incarnation always applies; it is final, so its order does not matter. Test: TestADrainThatIsAcknowledgedAppliesAfterAnOddSequence failed. Conclusion: what is acknowledged is what is applied.

--- a/sidecar/owner/announce.go
+++ b/sidecar/owner/announce.go
@@ -28,7 +28,8 @@
 // Announce applies an announcement of the backend server and reports whether its ID, state or incarnation changed.
 //
 // An announcement of an earlier incarnation or with an earlier sequence number changes nothing, and neither does any
-// announcement of an incarnation that drains. An announcement that the server beside the daemon can't have made is ignored.
+// announcement of an incarnation that drains. A drain applies whatever its sequence number, since an incarnation that
+// drains does not become ready again. An announcement that the server beside the daemon can't have made is ignored.
 func (o *Owner) Announce(s member.Server) bool {
 	if err := o.checkAnnouncement(time.Now(), s); err != nil {
 		o.Logger.Warn("owner: announcement ignored", "server", s.ID, "error", err)
@@ -44,7 +45,8 @@
 		o.mu.Unlock()
 		return false
 	case s.Born == previous.Born && s.ID == previous.ID:
-		if previous.State == member.Draining || s.Sequence <= previous.Sequence {
+		isLate := s.Sequence <= previous.Sequence && s.State != member.Draining
+		if previous.State == member.Draining || isLate {
 			o.mu.Unlock()
 			return false
 		}
--- a/sidecar/owner/odd_test.go
+++ b/sidecar/owner/odd_test.go
@@ -32,3 +32,14 @@
 		})
 	}
 }
+
+func TestADrainThatIsAcknowledgedAppliesAfterAnOddSequence(t *testing.T) {
+	s := newServer(t)
+	defer s.Close()
+	o := newOwner(t)
+	o.Announce(announcement(s, "a", 10, 5, member.Ready))
+	o.Announce(announcement(s, "a", 10, 1<<30, member.Ready))
+	assert.Assert(t, o.Announce(announcement(s, "a", 10, 6, member.Draining)))
+	found, _ := o.Server()
+	assert.Equal(t, found.State, member.Draining)
+}
