test(sidecar): silences of the store of 9 s, and answers of which only the head comes

The stand-in can send the head of a response and nothing more. Six silences pass: silent for 0.2, 1.5, 4.5 and 9 s, head only for 0.2 and 3 s; bound livenessS, 3 s. No logic changed.

--- a/sidecar/store_test.go
+++ b/sidecar/store_test.go
@@ -87,8 +87,14 @@
 const livenessBound = 3 * time.Second
 
 func TestAConfigurationWhoseAnswersTheStoreLostIsInForceInTime(t *testing.T) {
-	for _, silence := range []time.Duration{200 * time.Millisecond, 1500 * time.Millisecond, 4500 * time.Millisecond} {
-		t.Run(silence.String(), func(t *testing.T) {
+	for _, c := range []struct {
+		mode    platform.Mode
+		silence time.Duration
+	}{
+		{platform.ModeSilent, 200 * time.Millisecond}, {platform.ModeSilent, 1500 * time.Millisecond}, {platform.ModeSilent, 4500 * time.Millisecond}, {platform.ModeSilent, 9 * time.Second},
+		{platform.ModeHeadOnly, 200 * time.Millisecond}, {platform.ModeHeadOnly, 3 * time.Second},
+	} {
+		t.Run(fmt.Sprintf("%s for %v", c.mode, c.silence), func(t *testing.T) {
 			t.Parallel()
 			d := newDeployment(t)
 			d.configure(1, "desk")
@@ -96,9 +102,9 @@
 			d.await(desk, "server-0")
 			d.await(hub, "server-0")
 			d.awaitWaitingCalls(2)
-			d.store.SetFault(platform.Fault{Mode: platform.ModeSilent})
+			d.store.SetFault(platform.Fault{Mode: c.mode})
 			d.configure(2, "hub")
-			time.Sleep(silence)
+			time.Sleep(c.silence)
 			d.store.SetFault(platform.Fault{Mode: platform.ModeNone})
 			end := time.Now()
 			d.await(desk, "server-1")
--- a/standin/platform/fault.go
+++ b/standin/platform/fault.go
@@ -34,6 +34,8 @@
 	// ModeSilent gives no response to a call that arrives, and none to a waiting call whose response becomes due. Nothing
 	// more comes on the connection of such a call, also after the fault.
 	ModeSilent Mode = "silent"
+	// ModeHeadOnly is ModeSilent, but the head of each response comes.
+	ModeHeadOnly Mode = "head-only"
 )
 
 // Fault says how calls fail, which calls and how many.
@@ -97,11 +99,15 @@
 	return active
 }
 
-// isSilentTo reports whether a response to a caller that is due now is lost.
-func (f *faults) isSilentTo(caller string) bool {
+// silenceFor returns the mode in which a response to a caller that is due now is lost, or ModeNone.
+func (f *faults) silenceFor(caller string) Mode {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.current.Mode == ModeSilent && f.current.isFor(caller)
+	isSilent := f.current.Mode == ModeSilent || f.current.Mode == ModeHeadOnly
+	if !isSilent || !f.current.isFor(caller) {
+		return ModeNone
+	}
+	return f.current.Mode
 }
 
 // SetFault replaces the active fault; the calls that follow fail accordingly.
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -149,8 +149,8 @@
 		time.Sleep(fault.Delay)
 	case ModeReset:
 		panic(http.ErrAbortHandler)
-	case ModeSilent:
-		leaveUnanswered(r)
+	case ModeSilent, ModeHeadOnly:
+		leaveUnanswered(w, r, fault.Mode)
 	case ModeDelayedWrite:
 		time.AfterFunc(fault.Delay, func() { s.dispatch(r, body) })
 		panic(http.ErrAbortHandler)
@@ -159,8 +159,8 @@
 	if fault.Mode == ModeLostAnswer {
 		panic(http.ErrAbortHandler)
 	}
-	if s.faults.isSilentTo(callerAddress(r)) {
-		leaveUnanswered(r)
+	if silence := s.faults.silenceFor(callerAddress(r)); silence != ModeNone {
+		leaveUnanswered(w, r, silence)
 	}
 	if fault.Mode == ModeTruncated {
 		a.body = a.body[:len(a.body)/2]
@@ -168,8 +168,14 @@
 	a.write(w)
 }
 
-// leaveUnanswered keeps the connection of a call open without a response until the caller closes it.
-func leaveUnanswered(r *http.Request) {
+// leaveUnanswered keeps the connection of a call open without a response, or with the head of one alone in ModeHeadOnly,
+// until the caller closes it.
+func leaveUnanswered(w http.ResponseWriter, r *http.Request, silence Mode) {
+	if silence == ModeHeadOnly {
+		w.WriteHeader(http.StatusOK)
+		// The error is ignored: the caller gets no response in any case.
+		_ = http.NewResponseController(w).Flush()
+	}
 	<-r.Context().Done()
 	panic(http.ErrAbortHandler)
 }
