test(soak): write a configuration while the store is silent

The soak played stores that refuse, are slow, lose answers to writes or break connections; none that is silent, so no call of a daemon was ever left without a response.

--- a/cmd/soak/fault.go
+++ b/cmd/soak/fault.go
@@ -42,6 +42,7 @@
 			return addToxic(ctx, i.toServer, r)
 		})},
 		{"store restored from a copy", restoreStore},
+		{"configuration while the store is silent", configureSilently},
 	}
 }
 
@@ -131,6 +132,16 @@
 	return nil
 }
 
+// configureSilently writes a configuration while the store gives no response, for up to 5 s.
+func configureSilently(_ context.Context, s *Soak, r *rand.Rand) error {
+	s.store.SetFault(platform.Fault{Mode: platform.ModeSilent})
+	pause(r, 2*time.Second)
+	s.putConfiguration()
+	pause(r, 3*time.Second)
+	s.store.SetFault(platform.Fault{Mode: platform.ModeNone})
+	return nil
+}
+
 // restoreStore takes a copy of the store, writes up to two configurations within 2 s, and brings the store back from the
 // copy after an outage of up to 1 s.
 func restoreStore(_ context.Context, s *Soak, r *rand.Rand) error {
