perf(discovery): give a check beside a call that waits 0.4 s

Cause: when all connections to the store go silent, the idle one that a check takes is silent too, and its timeout of 1.2 s came on top of the age of the check. Change: a check that gets no answer in 0.4 s ends the wait; the next call, on a new connection, is given 1.2 s as before and shows whether it is an outage. The stand-in can make the open connections silent while new ones work. Conclusion: a slow store that takes over 0.4 s for an answer costs more calls.

--- a/sidecar/discovery/await.go
+++ b/sidecar/discovery/await.go
@@ -12,6 +12,12 @@
 	err  error
 }
 
+// checkTimeout limits a check beside a call that waits; the next call is then made on a new connection.
+const checkTimeout = 400 * time.Millisecond
+
+// errUnanswered ends a call that waits when a check beside it got no answer in time.
+var errUnanswered = errors.New("a check beside a call that waits got no answer")
+
 // errNewerEra ends a call that waits once a newer era of the store is known.
 var errNewerEra = errors.New("the store has another history")
 
@@ -19,7 +25,8 @@
 //
 // The response to a call that waits may be lost, and a connection on which that happened stays silent. While no daemon has
 // shown for CheckAfter that the configuration is the newest, the store is asked beside the call that waits. If that fails,
-// or tells of changes, the call that waits is given up.
+// or tells of changes, the call that waits is given up. The connection of the check may be silent too, so an outage shows
+// only if the next call fails.
 func (f *Follower) await(ctx context.Context) (reading, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -41,7 +48,10 @@
 		select {
 		case r := <-waiting:
 			return reading{page: r.page}, r.err
-		case r := <-f.feed(ctx, 0, readTimeout):
+		case r := <-f.feed(ctx, 0, checkTimeout):
+			if errors.Is(r.err, context.DeadlineExceeded) {
+				return reading{}, errUnanswered
+			}
 			if r.err != nil {
 				return reading{}, r.err
 			}
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -59,7 +59,9 @@
 func newDeployment(t testing.TB) *deployment {
 	t.Helper()
 	d := &deployment{t: t, store: &platform.Server{}}
-	h := httptest.NewServer(d.store)
+	h := httptest.NewUnstartedServer(d.store)
+	h.Config.ConnContext = d.store.ConnContext
+	h.Start()
 	t.Cleanup(h.Close)
 	d.storeAddr = strings.TrimPrefix(h.URL, "http://")
 	return d
--- a/sidecar/store_test.go
+++ b/sidecar/store_test.go
@@ -115,6 +115,25 @@
 	}
 }
 
+func TestAConfigurationIsInForceInTimeAfterAllConnectionsToTheStoreWentSilent(t *testing.T) {
+	d := newDeployment(t)
+	d.configure(1, "desk")
+	desk, hub := d.add("desk"), d.add("hub")
+	d.await(desk, "server-0")
+	d.await(hub, "server-0")
+	d.awaitWaitingCalls(2)
+	// The daemons keep idle connections beside those of the calls that wait.
+	time.Sleep(2 * time.Second)
+	d.store.SilenceConnections()
+	silenced := time.Now()
+	d.configure(2, "hub")
+	d.await(desk, "server-1")
+	d.await(hub, "server-1")
+	took := time.Since(silenced)
+	t.Log("in force after", took)
+	assert.Check(t, took <= livenessBound, "in force %v after the connections went silent", took)
+}
+
 func TestADaemonFindsTheOthersBesideOddRows(t *testing.T) {
 	d := newDeployment(t)
 	d.configure(1, "desk")
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -45,10 +45,11 @@
 	// era is raised by Restore; it is in the head of each answer.
 	era uint64
 	// saved is the copy that a call has taken, or nil.
-	saved      *Copy
-	faults     faults
-	writeLimit *rate.Limiter
-	readLimit  *rate.Limiter
+	saved       *Copy
+	faults      faults
+	connections connections
+	writeLimit  *rate.Limiter
+	readLimit   *rate.Limiter
 	// partLimits holds the limiter of each part that was written.
 	partLimits map[string]*rate.Limiter
 	writeCalls atomic.Int64
@@ -159,7 +160,7 @@
 	if fault.Mode == ModeLostAnswer {
 		panic(http.ErrAbortHandler)
 	}
-	if silence := s.faults.silenceFor(callerAddress(r)); silence != ModeNone {
+	if silence := s.silence(r); silence != ModeNone {
 		leaveUnanswered(w, r, silence)
 	}
 	if fault.Mode == ModeTruncated {
@@ -168,18 +169,6 @@
 	a.write(w)
 }
 
-// leaveUnanswered keeps the connection of a call open without a response, or with the head of one alone in ModeHeadOnly,
-// until the caller closes it.
-func leaveUnanswered(w http.ResponseWriter, r *http.Request, silence Mode) {
-	if silence == ModeHeadOnly {
-		w.WriteHeader(http.StatusOK)
-		// The error is ignored: the caller gets no response in any case.
-		_ = http.NewResponseController(w).Flush()
-	}
-	<-r.Context().Done()
-	panic(http.ErrAbortHandler)
-}
-
 // refuse answers a call that has no effect.
 func (s *Server) refuse(w http.ResponseWriter, status int) {
 	s.mu.Lock()
