--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -82,9 +82,15 @@
 // add starts an instance with a daemon and a backend server of a service. The ID of the server is "server-" and the
 // number of the instance, from 0.
 func (d *deployment) add(service string) *instance {
+	d.t.Helper()
+	return d.addIn("zone", service)
+}
+
+// addIn is add for an instance of a data centre.
+func (d *deployment) addIn(dataCentre, service string) *instance {
 	d.t.Helper()
 	i := &instance{settings: &settings.Settings{
-		Instance: fmt.Sprint(len(d.instances)), DataCentre: "zone", Service: service, Store: d.storeAddr, Grace: 4 * time.Second, Liveness: settings.DefaultLiveness,
+		Instance: fmt.Sprint(len(d.instances)), DataCentre: dataCentre, Service: service, Store: d.storeAddr, Grace: 4 * time.Second, Liveness: settings.DefaultLiveness,
 		Clients: loopback.Address(), Daemons: loopback.Address(), Readiness: loopback.Address(), Announcements: loopback.Address(),
 		RetryAllowance: placement.RetryAllowance{Ratio: 0.2, Slack: 60, Window: 10 * time.Second},
 	}}
@@ -93,7 +99,7 @@
 	d.start(i)
 	i.server = &application.Server{
 		ID: "server-" + i.settings.Instance, Service: service, Address: loopback.Address(), DaemonAddress: i.settings.Announcements,
-		DataCentre: "zone", Slots: 4, ProcessingTime: time.Millisecond, Heartbeat: 50 * time.Millisecond, Observer: d,
+		DataCentre: dataCentre, Slots: 4, ProcessingTime: time.Millisecond, Heartbeat: 50 * time.Millisecond, Observer: d,
 	}
 	assert.NilError(d.t, i.server.Start())
 	d.t.Cleanup(i.server.Crash)
