perf(sidecar): ask a silent store less often

Cause: in an outage each word that a daemon can't read the store made each relay check its call, and after 3 s all daemons of a data centre without a working relay followed the store, also those that had just failed to read it. Change: a doubt counts only if the configuration was not known to be the newest within 0.5 s; a daemon that can't read the store tries it only as a relay, and one that knows its configuration to be the newest need not follow.

--- a/sidecar/doubt.go
+++ b/sidecar/doubt.go
@@ -13,6 +13,8 @@
 	// doubtReaders is the mean number of daemons beside the relays that read the store when a daemon finds that it can't.
 	// The store may serve some machines only, so one would not do.
 	doubtReaders = 8
+	// doubtAge is the age of the configuration from which a doubt is a reason to read the store.
+	doubtAge = 500 * time.Millisecond
 	// doubtPause is the shortest time between two such reads of one daemon.
 	doubtPause = 2 * time.Second
 	// doubtSpread is the longest delay before such a read, which spreads those of all daemons.
@@ -56,14 +58,19 @@
 }
 
 // doubtStore makes this daemon read the configuration at the store itself, since another daemon has found that it can't,
-// and this one may have relied on it: each relay does, and a few of the other daemons.
+// and this one may have relied on it: each relay does, and a few of the other daemons, unless the configuration has just
+// been known to be the newest.
 func (s *Sidecar) doubtStore(now time.Time) {
 	s.doubt.hear(now)
+	if s.freshness.Age(now) < doubtAge {
+		return
+	}
 	if f := s.follower.Load(); f != nil {
 		f.Check()
 		return
 	}
-	if rand.Float64()*float64(s.members.Len()+1) < doubtReaders && s.doubt.beginRead(now) {
+	isDrawn := rand.Float64()*float64(s.members.Len()+1) < doubtReaders
+	if isDrawn && !s.isStoreDown(now) && s.doubt.beginRead(now) {
 		go s.readConfiguration(s.following)
 	}
 }
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -71,7 +71,7 @@
 func (s *Sidecar) mustFollow(now time.Time) bool {
 	s.selectorLock.Lock()
 	defer s.selectorLock.Unlock()
-	return s.selector.MustFollow(now, s.neighbours(), s.isStoreDown(now))
+	return s.selector.MustFollow(now, s.neighbours(), s.isStoreDown(now), now.Add(-s.freshness.Age(now)))
 }
 
 // checkAfter returns the age of the configuration from which this daemon asks the store beside a call that waits.
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -113,6 +113,13 @@
 	return i
 }
 
+// stopAll makes all daemons stop at once; the end of the test waits for them.
+func (d *deployment) stopAll() {
+	for _, i := range d.instances {
+		i.stop()
+	}
+}
+
 // start starts the daemon of an instance, also again after its end.
 func (d *deployment) start(i *instance) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/sidecar/relay/selector.go
+++ b/sidecar/relay/selector.go
@@ -73,14 +73,15 @@
 	return group
 }
 
-// MustFollow reports whether the daemon follows the store at the time now: it is a relay, or has heard of no relay that
-// can read the store for contactTimeout, or either was so within holdTime. IsStoreDown is true while this daemon itself
-// can't read the store.
-func (s *Selector) MustFollow(now time.Time, alive []Member, isStoreDown bool) bool {
+// MustFollow reports whether the daemon follows the store at the time now: it is a relay, or has neither heard of a relay
+// that can read the store nor known its configuration to be the newest for contactTimeout, or either was so within holdTime.
+// IsStoreDown is true while this daemon itself can't read the store, which it then tries only as a relay; currentAt is when
+// its configuration was last known to be the newest, or zero.
+func (s *Selector) MustFollow(now time.Time, alive []Member, isStoreDown bool, currentAt time.Time) bool {
 	if s.started.IsZero() {
 		s.started = now
 	}
-	if s.isNeeded(now, alive, isStoreDown) {
+	if s.isNeeded(now, alive, isStoreDown, currentAt) {
 		s.neededAt = now
 	}
 	return !s.neededAt.IsZero() && now.Sub(s.neededAt) < holdTime
@@ -98,7 +99,7 @@
 	return bound/2 + checkDelay + time.Duration(s.Jitter*float64(checkJitter))
 }
 
-func (s *Selector) isNeeded(now time.Time, alive []Member, isStoreDown bool) bool {
+func (s *Selector) isNeeded(now time.Time, alive []Member, isStoreDown bool, currentAt time.Time) bool {
 	contacts := map[string]time.Time{}
 	for _, m := range alive {
 		if !m.IsStoreDown {
@@ -106,6 +107,9 @@
 		}
 	}
 	last := s.started
+	if currentAt.After(last) {
+		last = currentAt
+	}
 	for _, address := range s.Relays(alive, isStoreDown) {
 		if address == s.Address {
 			return true
@@ -114,5 +118,5 @@
 			last = at
 		}
 	}
-	return now.Sub(last) > contactTimeout+time.Duration(s.Jitter*float64(contactJitter))
+	return !isStoreDown && now.Sub(last) > contactTimeout+time.Duration(s.Jitter*float64(contactJitter))
 }
--- a/sidecar/relay/selector_test.go
+++ b/sidecar/relay/selector_test.go
@@ -111,7 +111,7 @@
 	}
 	if !m.now.Before(d.nextDecision) {
 		d.nextDecision = m.now.Add(decisionPeriod)
-		must := d.selector.MustFollow(m.now, d.alive(), m.isStoreDown(d))
+		must := d.selector.MustFollow(m.now, d.alive(), m.isStoreDown(d), time.Time{})
 		if must && !d.isFollowing {
 			d.followedAt = 0
 		}
@@ -297,9 +297,10 @@
 		others = append(others, relay.Member{Address: a, LastContact: now})
 	}
 	s := &relay.Selector{Address: all[own], DataCentre: "c", Jitter: 1}
-	assert.Assert(t, !s.MustFollow(now, others, false))
-	assert.Assert(t, !s.MustFollow(now.Add(time.Second), others, false))
-	assert.Assert(t, s.MustFollow(now.Add(4*time.Second), others, false))
+	assert.Assert(t, !s.MustFollow(now, others, false, time.Time{}))
+	assert.Assert(t, !s.MustFollow(now.Add(time.Second), others, false, time.Time{}))
+	assert.Assert(t, !s.MustFollow(now.Add(4*time.Second), others, false, now.Add(2*time.Second)), "others show that its configuration is the newest")
+	assert.Assert(t, s.MustFollow(now.Add(4*time.Second), others, false, time.Time{}))
 }
 
 func TestOnlyDaemonsThatCanReadTheStoreAreRelays(t *testing.T) {
--- a/sidecar/store_test.go
+++ b/sidecar/store_test.go
@@ -142,6 +142,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			d := newDeployment(t)
+			defer d.stopAll()
 			d.configure(1, "desk")
 			for n := range 12 {
 				d.addIn(fmt.Sprint("zone-", n%3), "desk")
@@ -149,6 +150,8 @@
 			for _, i := range d.instances {
 				d.awaitVersion(i, 1)
 			}
+			// Those that followed the store at the start have left it to the relays by then.
+			time.Sleep(5 * time.Second)
 			relays := d.awaitWaitingCalls(6)
 			time.Sleep(time.Duration(seed) * 400 * time.Millisecond)
 			d.store.SetFault(platform.Fault{Mode: platform.ModeSilent, Callers: relays})
