fix(discovery): tell a change again on a new connection when its probe times out

Cause: when the open connections between daemons go silent, a change that is told over one is lost with it, and in a mesh of over 16 daemons the next probe of that daemon comes rounds later. Change: a probe that tells a change and times out is repeated once, on the new connection.

--- a/sidecar/discovery/prober.go
+++ b/sidecar/discovery/prober.go
@@ -207,7 +207,7 @@
 
 // startProbe starts to probe a daemon unless a probe of it is in flight, or it has been unreachable for longer than
 // slowProbeAfter and this is not one of the rounds for it. A change of this daemon is told by another probe once the one
-// in flight has ended.
+// in flight has ended, and told again if the probe times out, since only its connection may be silent.
 func (p *Prober) startProbe(ctx context.Context, address string, isChange bool) {
 	if address == p.Address {
 		return
@@ -224,7 +224,10 @@
 	p.inFlight[address] = false
 	go func() {
 		for isDue := true; isDue && ctx.Err() == nil; isDue = p.endProbe(address) {
-			p.probe(ctx, address, peer.TrafficControl)
+			if hasTimedOut := p.probe(ctx, address, peer.TrafficControl); hasTimedOut && isChange {
+				isChange = false
+				p.repeatProbe(address)
+			}
 			if p.Pool.Connection(address, peer.TrafficBulk).IsBusy() {
 				p.probe(ctx, address, peer.TrafficBulk)
 			}
@@ -232,6 +235,13 @@
 	}()
 }
 
+// repeatProbe makes another probe follow the one in flight.
+func (p *Prober) repeatProbe(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inFlight[address] = true
+}
+
 // endProbe records that a probe has ended, and reports whether another has to follow it.
 func (p *Prober) endProbe(address string) bool {
 	p.mu.Lock()
@@ -244,8 +254,8 @@
 	return false
 }
 
-// probe sends a probe and handles the reply; a probe that times out closes the connection.
-func (p *Prober) probe(ctx context.Context, address string, class peer.TrafficClass) {
+// probe sends a probe and handles the reply. A probe that times out closes the connection; hasTimedOut says so.
+func (p *Prober) probe(ctx context.Context, address string, class peer.TrafficClass) (hasTimedOut bool) {
 	callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	connection := p.Pool.Connection(address, class)
@@ -257,18 +267,20 @@
 		p.StateExchange.ReceiveProbe(reply)
 		p.catchUp(ctx, address, reply)
 		p.recordAge(started, reply)
-		return
+		return false
 	}
 	// After a pause of this process the failure says nothing about the other daemon.
 	if ctx.Err() != nil || time.Since(started) > pauseFactor*probeTimeout {
-		return
+		return false
 	}
 	if p.Members.RecordUnreachable(time.Now(), address) {
 		p.Logger.Warn("discovery: daemon does not answer probes", "daemon", address, "error", err)
 	}
-	if errors.Is(callCtx.Err(), context.DeadlineExceeded) {
+	hasTimedOut = errors.Is(callCtx.Err(), context.DeadlineExceeded)
+	if hasTimedOut {
 		connection.Close()
 	}
+	return hasTimedOut
 }
 
 // recordAge records that the configuration in force here was the newest when the one of another daemon was. The age in the
--- a/sidecar/discovery/prober_test.go
+++ b/sidecar/discovery/prober_test.go
@@ -94,6 +94,38 @@
 	}
 }
 
+// A connection may have gone silent for good, while a new one to the same daemon works.
+func TestAChangeIsToldAgainWhenAProbeTimesOut(t *testing.T) {
+	address := loopback.Address()
+	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+	other := &otherDaemon{received: make(chan message.Probe, 100), release: make(chan struct{})}
+	server := &peer.Server{Address: address, Service: other, Logger: logger}
+	assert.NilError(t, server.Run())
+	defer server.Stop(0)
+	defer close(other.release)
+	members := member.NewTable()
+	members.Add(address, "a")
+	for i := range 600 {
+		members.Add(fmt.Sprintf("127.0.%d.%d:1", i/200, i%200+1), "b")
+	}
+	p := &discovery.Prober{
+		Address: "127.0.0.1:1", DataCentre: "a", Members: members, Pool: &peer.Pool{}, StateExchange: &ownState{}, Configuration: noConfiguration{}, Logger: logger,
+		Relays: func() []string { return nil },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	p.Run(ctx)
+	p.ProbeAll()
+	<-other.received
+	told := time.Now()
+	select {
+	case <-other.received:
+		assert.Assert(t, time.Since(told) < 3*time.Second, "told again after %v", time.Since(told))
+	case <-time.After(20 * time.Second):
+		t.Fatal("the change was not told again within 20 s")
+	}
+}
+
 // agedDaemon is a daemon that replies to each probe with a version and its age.
 type agedDaemon struct{ reply message.Probe }
 
