--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -41,6 +41,8 @@
 	t         testing.TB
 	store     *platform.Server
 	instances []*instance
+	// storeListeners serve the store, one for each instance.
+	storeListeners []*httptest.Server
 
 	mu sync.Mutex
 	// executions are the requests that the backend servers have run, the oldest first.
@@ -58,7 +60,23 @@
 
 func newDeployment(t testing.TB) *deployment {
 	t.Helper()
-	return &deployment{t: t, store: &platform.Server{}}
+	d := &deployment{t: t, store: &platform.Server{}}
+	t.Cleanup(d.stop)
+	return d
+}
+
+// stop stops all daemons at once, then their backend servers and the store, which waits for the calls of the daemons.
+func (d *deployment) stop() {
+	for _, i := range d.instances {
+		i.stop()
+	}
+	for _, i := range d.instances {
+		<-i.ended
+		i.server.Crash()
+	}
+	for _, l := range d.storeListeners {
+		l.Close()
+	}
 }
 
 // serveStore returns an address of the store at which it sees all calls as those of one instance.
@@ -69,7 +87,7 @@
 	}))
 	h.Config.ConnContext = d.store.ConnContext
 	h.Start()
-	d.t.Cleanup(h.Close)
+	d.storeListeners = append(d.storeListeners, h)
 	return strings.TrimPrefix(h.URL, "http://")
 }
 
@@ -109,17 +127,9 @@
 		DataCentre: dataCentre, Slots: 4, ProcessingTime: time.Millisecond, Heartbeat: 50 * time.Millisecond, Observer: d,
 	}
 	assert.NilError(d.t, i.server.Start())
-	d.t.Cleanup(i.server.Crash)
 	return i
 }
 
-// stopAll makes all daemons stop at once; the end of the test waits for them.
-func (d *deployment) stopAll() {
-	for _, i := range d.instances {
-		i.stop()
-	}
-}
-
 // start starts the daemon of an instance, also again after its end.
 func (d *deployment) start(i *instance) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -136,7 +146,6 @@
 			d.t.Error(err)
 		}
 	}()
-	d.t.Cleanup(func() { cancel(); <-ended })
 }
 
 // number is the number of the latest request; it is the ID of the request and the end of its path.
--- a/sidecar/store_test.go
+++ b/sidecar/store_test.go
@@ -142,7 +142,6 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			d := newDeployment(t)
-			defer d.stopAll()
 			d.configure(1, "desk")
 			for n := range 12 {
 				d.addIn(fmt.Sprint("zone-", n%3), "desk")
