--- a/sidecar/discovery/await.go
+++ b/sidecar/discovery/await.go
@@ -25,8 +25,7 @@
 //
 // The response to a call that waits may be lost, and a connection on which that happened stays silent. While no daemon has
 // shown for CheckAfter that the configuration is the newest, the store is asked beside the call that waits. If that fails,
-// or tells of changes, the call that waits is given up. The connection of the check may be silent too, so an outage shows
-// only if the next call fails.
+// or tells of changes, the call that waits is given up.
 func (f *Follower) await(ctx context.Context) (reading, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -41,6 +40,7 @@
 		case <-f.check:
 		case <-time.After(f.untilCheck()):
 			if f.untilCheck() > 0 {
+				// Another daemon has shown meanwhile that the configuration is the newest.
 				continue
 			}
 		}
@@ -49,13 +49,9 @@
 		case r := <-waiting:
 			return reading{page: r.page}, r.err
 		case r := <-f.feed(ctx, 0, checkTimeout):
-			if errors.Is(r.err, context.DeadlineExceeded) {
-				return reading{}, errUnanswered
-			}
-			if r.err != nil {
-				return reading{}, r.err
-			}
-			if len(r.page.Rows) > 0 || f.hasGoneBack(r.page) {
+			if isOver, err := f.judge(r); err != nil {
+				return reading{}, err
+			} else if isOver {
 				f.Logger.Warn("discovery: store told of changes beside a call that waits", "table", f.Table, "position", f.position.version, "version", r.page.Version, "waited", time.Since(began))
 				return reading{page: r.page, asked: asked, isLost: true}, nil
 			}
@@ -64,6 +60,18 @@
 	}
 }
 
+// judge reports whether the result of a check tells of changes, so that the wait is over. The connection of the check may be
+// silent too, so an outage shows only if the call after errUnanswered fails.
+func (f *Follower) judge(checked result) (isOver bool, err error) {
+	if errors.Is(checked.err, context.DeadlineExceeded) {
+		return false, errUnanswered
+	}
+	if checked.err != nil {
+		return false, checked.err
+	}
+	return len(checked.page.Rows) > 0 || f.hasGoneBack(checked.page), nil
+}
+
 // feed starts a call of Feed and returns the channel for its result.
 func (f *Follower) feed(ctx context.Context, wait, timeout time.Duration) <-chan result {
 	done := make(chan result, 1)
--- a/sidecar/doubt.go
+++ b/sidecar/doubt.go
@@ -91,6 +91,7 @@
 		return
 	}
 	s.storeEra.Record(page.Era)
+	s.logOddRows(s.Platform.ConfigurationTable, page)
 	before := s.configuration.Version()
 	s.installRows(page.Rows)
 	s.freshness.Record(asked)
--- a/sidecar/register.go
+++ b/sidecar/register.go
@@ -123,9 +123,7 @@
 	s.retryStoreCall(ctx, "read the rows of the daemons", func(ctx context.Context) error {
 		page, err := s.Platform.Store.List(ctx, membersTable)
 		if err == nil {
-			for _, odd := range page.Odd {
-				s.Logger.Warn("daemon: row left out", "table", membersTable, "error", odd)
-			}
+			s.logOddRows(membersTable, page)
 			hasOwn, era = s.addRows(page.Rows), page.Era
 		}
 		return err
@@ -134,6 +132,13 @@
 	return hasOwn, era
 }
 
+// logOddRows logs the rows of a page that can't be read.
+func (s *Sidecar) logOddRows(table string, p discovery.Page) {
+	for _, odd := range p.Odd {
+		s.Logger.Warn("daemon: row left out", "table", table, "error", odd)
+	}
+}
+
 // retryStoreCall repeats a call of the store until it succeeds or the context ends. Purpose is named in the log.
 func (s *Sidecar) retryStoreCall(ctx context.Context, purpose string, call func(context.Context) error) {
 	for ctx.Err() == nil {
--- a/sidecar/relay/selector.go
+++ b/sidecar/relay/selector.go
@@ -15,6 +15,8 @@
 	// checkDelay is the longest time until a daemon learns from the probes of a round what another daemon knows; relays
 	// beside the first one wait so much longer before they ask the store.
 	checkDelay = 1100 * time.Millisecond
+	// minimumCheckAge is the least age of the configuration from which a relay asks the store.
+	minimumCheckAge = 500 * time.Millisecond
 	// checkJitter is the largest addition to checkDelay; it spreads the calls of relays.
 	checkJitter = time.Second
 	// holdTime is how long a daemon goes on following the store once it need not any more.
@@ -93,10 +95,11 @@
 // order: the first relay of the first of them asks in time, and the others only if they don't hear of that.
 func (s *Selector) CheckAfter(bound time.Duration, centres, relays []string) time.Duration {
 	isFirst := len(centres) > 0 && centres[0] == s.DataCentre && len(relays) > 0 && relays[0] == s.Address
+	age := max(minimumCheckAge, bound/2)
 	if isFirst {
-		return bound / 2
+		return age
 	}
-	return bound/2 + checkDelay + time.Duration(s.Jitter*float64(checkJitter))
+	return age + checkDelay + time.Duration(s.Jitter*float64(checkJitter))
 }
 
 func (s *Selector) isNeeded(now time.Time, alive []Member, isStoreDown bool, currentAt time.Time) bool {
--- a/sidecar/relay/selector_test.go
+++ b/sidecar/relay/selector_test.go
@@ -316,6 +316,7 @@
 	s := &relay.Selector{Address: "d0", DataCentre: "b", Jitter: 0.5}
 	first := s.CheckAfter(bound, []string{"b", "c"}, []string{"d0", "d1"})
 	assert.Equal(t, first, bound/2)
+	assert.Equal(t, s.CheckAfter(time.Millisecond, []string{"b"}, []string{"d0"}), 500*time.Millisecond, "a tiny bound costs no storm of calls")
 	for name, other := range map[string]time.Duration{
 		"second relay of its data centre":                   s.CheckAfter(bound, []string{"b", "c"}, []string{"d1", "d0"}),
 		"another data centre comes first":                   s.CheckAfter(bound, []string{"a", "b"}, []string{"d0", "d1"}),
