fix(discovery): fetch a configuration again when the fetch times out

What callers could see: a daemon in a mesh of over 16 keeps an older version for as long as no round of probes reaches a daemon with the newer one, after it was told of it over a connection that works and fetched it over one that is silent. Cause: a fetch that times out after 1.5 s was given up, and the connection kept. Test: TestAConfigurationIsFetchedAgainWhenTheFetchTimesOut failed in two runs (no other fetch within 15 s); now it comes after 1.5 s. Change: a probe follows a fetch that times out; it closes a silent connection, and its reply leads to another fetch. The count of rounds is atomic, since probes now begin outside of the loop too; go test -race -count=2 ./sidecar/discovery passes.

--- a/sidecar/discovery/fetch.go
+++ b/sidecar/discovery/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"siskinspar.example/sidecar/member"
@@ -77,6 +78,10 @@
 	var document message.Document
 	if err := p.Pool.Connection(address, peer.TrafficControl).Call(callCtx, peer.ServiceName+".Configuration", &message.Empty{}, &document); err != nil {
 		p.Logger.Warn("discovery: fetch of the configuration failed", "daemon", address, "error", err)
+		if errors.Is(callCtx.Err(), context.DeadlineExceeded) {
+			// The probe closes the connection if it is silent, and its reply leads to another fetch.
+			p.startProbe(ctx, address, true)
+		}
 		return
 	}
 	content, err := document.Content()
--- a/sidecar/discovery/prober.go
+++ b/sidecar/discovery/prober.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"siskinspar.example/sidecar/member"
@@ -81,7 +82,7 @@
 	// probeNeighbours starts a round for the daemons of this data centre.
 	probeNeighbours chan struct{}
 	done            chan struct{}
-	round           int
+	round           atomic.Int64
 	// cursor is the index of the first address of the next round.
 	cursor int
 	// fetching counts the configurations that are being fetched, including the delay before, from daemons of this data
@@ -158,7 +159,7 @@
 			p.Logger.Warn("discovery: this process was paused", "for", now.Sub(last))
 		}
 		last = now
-		p.round++
+		p.round.Add(1)
 		for _, a := range addresses {
 			p.startProbe(ctx, a, isChange)
 		}
@@ -205,7 +206,7 @@
 	if address == p.Address {
 		return
 	}
-	if p.Members.UnreachableFor(time.Now(), address) > slowProbeAfter && p.round%slowProbeRounds != 0 {
+	if p.Members.UnreachableFor(time.Now(), address) > slowProbeAfter && p.round.Load()%slowProbeRounds != 0 {
 		return
 	}
 	p.mu.Lock()
--- a/sidecar/discovery/prober_test.go
+++ b/sidecar/discovery/prober_test.go
@@ -176,3 +176,52 @@
 		})
 	}
 }
+
+// hangingDaemon has a newer configuration, and leaves the first call that fetches it unanswered.
+type hangingDaemon struct {
+	agedDaemon
+	fetched chan struct{}
+	release chan struct{}
+	first   sync.Once
+}
+
+func (h *hangingDaemon) Configuration(_ *message.Empty, _ *message.Document) error {
+	h.fetched <- struct{}{}
+	h.first.Do(func() { <-h.release })
+	return nil
+}
+
+func TestAConfigurationIsFetchedAgainWhenTheFetchTimesOut(t *testing.T) {
+	address := loopback.Address()
+	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
+	reply := message.Probe{Record: member.Record{Address: address, DataCentre: "a"}, Version: 7}
+	other := &hangingDaemon{agedDaemon: agedDaemon{reply}, fetched: make(chan struct{}, 100), release: make(chan struct{})}
+	server := &peer.Server{Address: address, Service: other, Logger: logger}
+	assert.NilError(t, server.Run())
+	defer server.Stop(0)
+	defer close(other.release)
+	members := member.NewTable()
+	members.Add(address, "a")
+	for i := range 600 {
+		members.Add(fmt.Sprintf("127.0.%d.%d:1", i/200, i%200+1), "b")
+	}
+	p := &discovery.Prober{
+		Address: "127.0.0.1:1", DataCentre: "a", Members: members, Pool: &peer.Pool{}, StateExchange: &ownState{}, Configuration: noConfiguration{}, Logger: logger,
+		Relays: func() []string { return nil },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	p.Run(ctx)
+	p.ProbeAll()
+	fetches := make([]time.Time, 2)
+	for i := range fetches {
+		select {
+		case <-other.fetched:
+			fetches[i] = time.Now()
+		case <-time.After(15 * time.Second):
+			t.Fatalf("%d fetches within 15 s", i)
+		}
+	}
+	took := fetches[1].Sub(fetches[0])
+	assert.Assert(t, took < 3*time.Second, "fetched again after %v", took)
+}
