--- a/sidecar/discovery/prober_test.go
+++ b/sidecar/discovery/prober_test.go
@@ -1,7 +1,6 @@
 package discovery_test
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -59,28 +58,33 @@
 func (noConfiguration) Version() route.Version { return 0 }
 func (noConfiguration) Install([]byte, string) {}
 
-// A drain that is announced while a probe is on its way must not wait for the next round that reaches the daemon.
-func TestAChangeDuringAProbeIsTold(t *testing.T) {
-	// In the order of addresses the daemon comes after all others, of which none runs, so that no round reaches it soon.
+// startProber starts a daemon with the service that newService returns for its address, and a prober that knows it. In the order of addresses the daemon comes after
+// 600 others, of which none runs, so that no round reaches it soon.
+func startProber(t *testing.T, newService func(address string) any, state *ownState) *discovery.Prober {
+	t.Helper()
 	address := loopback.Address()
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
-	other := &otherDaemon{received: make(chan message.Probe, 100), release: make(chan struct{})}
-	server := &peer.Server{Address: address, Service: other, Logger: logger}
+	server := &peer.Server{Address: address, Service: newService(address), Logger: logger}
 	assert.NilError(t, server.Run())
-	defer server.Stop(0)
+	t.Cleanup(func() { server.Stop(0) })
 	members := member.NewTable()
 	members.Add(address, "a")
 	for i := range 600 {
 		members.Add(fmt.Sprintf("127.0.%d.%d:1", i/200, i%200+1), "b")
 	}
-	state := &ownState{}
 	p := &discovery.Prober{
 		Address: "127.0.0.1:1", DataCentre: "a", Members: members, Pool: &peer.Pool{}, StateExchange: state, Configuration: noConfiguration{}, Logger: logger,
-		Relays: func() []string { return nil },
+		Relays: func() []string { return nil }, Freshness: &discovery.Freshness{},
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	p.Run(ctx)
+	p.Run(t.Context())
+	return p
+}
+
+// A drain that is announced while a probe is on its way must not wait for the next round that reaches the daemon.
+func TestAChangeDuringAProbeIsTold(t *testing.T) {
+	other := &otherDaemon{received: make(chan message.Probe, 100), release: make(chan struct{})}
+	state := &ownState{}
+	p := startProber(t, func(string) any { return other }, state)
 	p.ProbeAll()
 	assert.Equal(t, (<-other.received).Record.Sequence, uint64(0))
 	state.change()
@@ -96,25 +100,9 @@
 
 // A connection may have gone silent for good, while a new one to the same daemon works.
 func TestAChangeIsToldAgainWhenAProbeTimesOut(t *testing.T) {
-	address := loopback.Address()
-	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
 	other := &otherDaemon{received: make(chan message.Probe, 100), release: make(chan struct{})}
-	server := &peer.Server{Address: address, Service: other, Logger: logger}
-	assert.NilError(t, server.Run())
-	defer server.Stop(0)
-	defer close(other.release)
-	members := member.NewTable()
-	members.Add(address, "a")
-	for i := range 600 {
-		members.Add(fmt.Sprintf("127.0.%d.%d:1", i/200, i%200+1), "b")
-	}
-	p := &discovery.Prober{
-		Address: "127.0.0.1:1", DataCentre: "a", Members: members, Pool: &peer.Pool{}, StateExchange: &ownState{}, Configuration: noConfiguration{}, Logger: logger,
-		Relays: func() []string { return nil },
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	p.Run(ctx)
+	p := startProber(t, func(string) any { return other }, &ownState{})
+	t.Cleanup(func() { close(other.release) })
 	p.ProbeAll()
 	<-other.received
 	told := time.Now()
@@ -145,33 +133,19 @@
 		{"a daemon of a release without ages", message.Probe{}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			address := loopback.Address()
-			logger := slog.New(slog.NewTextHandler(io.Discard, nil))
-			server := &peer.Server{Address: address, Service: &agedDaemon{c.reply}, Logger: logger}
-			assert.NilError(t, server.Run())
-			defer server.Stop(0)
-			members := member.NewTable()
-			members.Add(address, "a")
-			freshness := &discovery.Freshness{}
-			p := &discovery.Prober{
-				Address: "127.0.0.1:1", DataCentre: "a", Members: members, Pool: &peer.Pool{}, StateExchange: &ownState{}, Configuration: noConfiguration{}, Logger: logger,
-				Relays: func() []string { return nil }, Freshness: freshness,
-			}
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
-			p.Run(ctx)
+			p := startProber(t, func(string) any { return &agedDaemon{c.reply} }, &ownState{})
 			started := time.Now()
 			p.ProbeAll()
 			if !c.isKnown {
 				time.Sleep(300 * time.Millisecond)
-				assert.Equal(t, freshness.Age(time.Now()), discovery.UnknownAge)
+				assert.Equal(t, p.Freshness.Age(time.Now()), discovery.UnknownAge)
 				return
 			}
-			for freshness.Age(time.Now()) == discovery.UnknownAge && time.Since(started) < 10*time.Second {
+			for p.Freshness.Age(time.Now()) == discovery.UnknownAge && time.Since(started) < 10*time.Second {
 				time.Sleep(10 * time.Millisecond)
 			}
 			now := time.Now()
-			age := freshness.Age(now)
+			age := p.Freshness.Age(now)
 			assert.Assert(t, age >= time.Second && age <= time.Second+now.Sub(started), "age %v", age)
 		})
 	}
@@ -192,26 +166,12 @@
 }
 
 func TestAConfigurationIsFetchedAgainWhenTheFetchTimesOut(t *testing.T) {
-	address := loopback.Address()
-	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
-	reply := message.Probe{Record: member.Record{Address: address, DataCentre: "a"}, Version: 7}
-	other := &hangingDaemon{agedDaemon: agedDaemon{reply}, fetched: make(chan struct{}, 100), release: make(chan struct{})}
-	server := &peer.Server{Address: address, Service: other, Logger: logger}
-	assert.NilError(t, server.Run())
-	defer server.Stop(0)
-	defer close(other.release)
-	members := member.NewTable()
-	members.Add(address, "a")
-	for i := range 600 {
-		members.Add(fmt.Sprintf("127.0.%d.%d:1", i/200, i%200+1), "b")
-	}
-	p := &discovery.Prober{
-		Address: "127.0.0.1:1", DataCentre: "a", Members: members, Pool: &peer.Pool{}, StateExchange: &ownState{}, Configuration: noConfiguration{}, Logger: logger,
-		Relays: func() []string { return nil },
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	p.Run(ctx)
+	other := &hangingDaemon{fetched: make(chan struct{}, 100), release: make(chan struct{})}
+	p := startProber(t, func(address string) any {
+		other.reply = message.Probe{Record: member.Record{Address: address, DataCentre: "a"}, Version: 7}
+		return other
+	}, &ownState{})
+	t.Cleanup(func() { close(other.release) })
 	p.ProbeAll()
 	fetches := make([]time.Time, 2)
 	for i := range fetches {
