refactor(sidecar): call it a suspicion, and missed changes missed

Read as a newcomer: 'doubt' is no term of the field, suspicion is; 'lost' rows were not lost, a waiting call missed them. Names only. make check, tests of discovery and sidecar pass.

--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -79,7 +79,7 @@
 		s.Logger.Info("daemon: another daemon or its backend server changed", "daemon", p.Record.Address, "server", p.Record.Server.ID, "state", p.Record.Server.State.String(), "stopping", p.Record.IsStopping)
 	}
 	if p.Record.IsStoreDown && !wasStoreDown {
-		s.doubtStore(now)
+		s.suspectStore(now)
 	}
 	s.storeEra.Record(p.StoreEra)
 	s.quarantine.Merge(now, p.Crashes)
--- a/sidecar/discovery/await.go
+++ b/sidecar/discovery/await.go
@@ -53,7 +53,7 @@
 				return reading{}, err
 			} else if isOver {
 				f.Logger.Warn("discovery: store told of changes beside a call that waits", "table", f.Table, "position", f.position.version, "version", r.page.Version, "waited", time.Since(began))
-				return reading{page: r.page, asked: asked, isLost: true}, nil
+				return reading{page: r.page, asked: asked, isMissed: true}, nil
 			}
 			f.Freshness.Record(asked)
 		}
--- a/sidecar/discovery/await_test.go
+++ b/sidecar/discovery/await_test.go
@@ -21,7 +21,7 @@
 // outcome is what a follower told of a scripted store.
 type outcome struct {
 	keys     []string
-	lost     int
+	missed   int
 	failures []error
 }
 
@@ -34,8 +34,8 @@
 		f := &discovery.Follower{
 			Table: "t", Store: s, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 			Freshness: &discovery.Freshness{}, CheckAfter: func() time.Duration { return checkAfter },
-			OnRows: func(rows []discovery.Row) { o.keys = append(o.keys, rows[0].Key) },
-			OnLost: func() { o.lost++ },
+			OnRows:   func(rows []discovery.Row) { o.keys = append(o.keys, rows[0].Key) },
+			OnMissed: func() { o.missed++ },
 			OnResult: func(err error) {
 				if err != nil {
 					o.failures = append(o.failures, err)
@@ -58,7 +58,7 @@
 	}
 	o := followWithChecks(t, s, 3*time.Second, func(*discovery.Follower) {})
 	assert.DeepEqual(t, o.keys, []string{"a", "b"})
-	assert.Equal(t, o.lost, 1, "the other daemons have to learn that the store does not tell of changes")
+	assert.Equal(t, o.missed, 1, "the other daemons have to learn that the store does not tell of changes")
 	assert.Equal(t, len(o.failures), 0)
 }
 
--- a/sidecar/discovery/follower.go
+++ b/sidecar/discovery/follower.go
@@ -39,8 +39,8 @@
 	OnRows func(rows []Row)
 	// OnResult is called after each call of the store with its error, or nil; it is set before Run, or nil.
 	OnResult func(err error)
-	// OnLost is called after OnRows for rows of which a waiting call was not told; it is set before Run, or nil.
-	OnLost func()
+	// OnMissed is called after OnRows for rows of which a waiting call was not told; it is set before Run, or nil.
+	OnMissed func()
 	// Freshness is raised by each call that the store answers at once; it is set before Run, or nil.
 	Freshness *Freshness
 	// CheckAfter returns the age of Freshness from which the follower asks the store beside a call that waits; it is set
@@ -127,8 +127,8 @@
 	page Page
 	// asked is when the call was made that the store answered at once, or zero for a call that waited.
 	asked time.Time
-	// isLost is true if the page was read beside a call that waited for its changes in vain.
-	isLost bool
+	// isMissed is true if the page was read beside a call that waited for its changes in vain.
+	isMissed bool
 }
 
 // receive passes on the rows of a page and goes on after it, unless the store went back since the page before.
@@ -152,8 +152,8 @@
 		f.OnRows(p.Rows)
 	}
 	f.Freshness.Record(r.asked)
-	if r.isLost && f.OnLost != nil {
-		f.OnLost()
+	if r.isMissed && f.OnMissed != nil {
+		f.OnMissed()
 	}
 	if len(p.Rows) > 0 {
 		sleep(ctx, batchDelay)
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -54,7 +54,7 @@
 		f.stop = stop
 		follower := &discovery.Follower{
 			Table: s.Platform.ConfigurationTable, Store: s.Platform.Store, Era: &s.storeEra, Logger: s.Logger, OnRows: s.installRows, OnResult: s.recordFollowerResult,
-			OnLost: s.announceLost, Freshness: &s.freshness, CheckAfter: s.checkAfter,
+			OnMissed: s.announceMissed, Freshness: &s.freshness, CheckAfter: s.checkAfter,
 		}
 		follower.Run(following)
 		s.follower.Store(follower)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -79,8 +79,8 @@
 	follower atomic.Pointer[discovery.Follower]
 	// following ends with the parts that read the store.
 	following context.Context
-	// doubt reads the configuration beside the relays when one of them can't read the store.
-	doubt      storeDoubt
+	// suspicion says when to read the configuration beside the relays, since one of them can't read the store.
+	suspicion  storeSuspicion
 	ingress    *ingress.Server
 	peers      *peer.Server
 	servers    []*http.Server
@@ -161,7 +161,7 @@
 func (s *Sidecar) startProber(ctx context.Context) {
 	s.prober = &discovery.Prober{
 		Address: s.Settings.Daemons, DataCentre: s.Settings.DataCentre, Members: s.members, Pool: s.pool, StateExchange: s, Configuration: s.configuration, Freshness: &s.freshness, Logger: s.Logger,
-		Relays: func() []string { return s.relays(time.Now()) }, IsHurried: func() bool { return s.doubt.isRecent(time.Now()) },
+		Relays: func() []string { return s.relays(time.Now()) }, IsHurried: func() bool { return s.suspicion.isRecent(time.Now()) },
 	}
 	s.addSeeds(s.Settings.Seeds)
 	s.prober.Run(ctx)
