fix(discovery): ask the first relay before the store, so that a frozen one is noticed in time

Callers see: all connections to the store go silent; the first relay of the mesh finds out and goes on, the others rely on its word. Then it is frozen, and a configuration is written: their waiting calls are silent, and they ask the store only 2.1 to 3.1 s after they last heard of the first relay.

Cause: a relay learned of the age of the configuration from its round of probes, 1.05 s late, and so had to be that patient.

Change: a relay that doubts its configuration (half of configS and 100 ms old) asks the first relay for its age, for 150 ms at most, and then the store. It no longer waits for what rounds of probes bring.

The store stand-in of the soak gets an address for each run, so that runs of one process can overlap.

--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -58,11 +58,13 @@
 	// Out gets a line for each fault and the result.
 	Out io.Writer
 
-	store     *platform.Server
-	storeHTTP *http.Server
-	instances []*instance
-	checker   *Checker
-	mu        sync.Mutex
+	store *platform.Server
+	// storeAddress is where the stand-in for the store listens; the proxies of all instances lead to it.
+	storeAddress string
+	storeHTTP    *http.Server
+	instances    []*instance
+	checker      *Checker
+	mu           sync.Mutex
 	// inUse holds the instances on which a fault is in progress.
 	inUse map[*instance]bool
 	// version is the number of the last configuration in the store.
@@ -202,7 +204,7 @@
 		directory: s.Directory, binary: s.Binary,
 	}
 	var err error
-	if i.toStore, err = newProxy("store", i.address(portToStore), storeAddress()); err != nil {
+	if i.toStore, err = newProxy("store", i.address(portToStore), s.storeAddress); err != nil {
 		return err
 	}
 	if i.toServer, err = newProxy("server", i.address(portToServer), i.address(portServer)); err != nil {
--- a/cmd/soak/store.go
+++ b/cmd/soak/store.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 
 	"github.com/rotisserie/eris"
 
@@ -13,9 +12,6 @@
 	"siskinspar.example/standin/platform"
 )
 
-// storeAddress returns the address of the stand-in for the store; the proxies of all instances lead to it.
-var storeAddress = sync.OnceValue(loopback.Address)
-
 // configurationTemplate is the configuration that putConfiguration formats with a version and a timeout in seconds.
 const configurationTemplate = `{"version":"%08x","services":[{"name":"desk","healthCheckPath":"/healthz","maxConnections":60}],` +
 	`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutS":3,"idleTimeoutS":15},` +
@@ -26,11 +22,12 @@
 // startStore starts the stand-in for the store.
 func (s *Soak) startStore() error {
 	s.store = &platform.Server{}
-	l, err := net.Listen("tcp", storeAddress())
+	s.storeAddress = loopback.Address()
+	l, err := net.Listen("tcp", s.storeAddress)
 	if err != nil {
 		return eris.Wrap(err, "listen for the store stand-in")
 	}
-	s.storeHTTP = &http.Server{Handler: s.store}
+	s.storeHTTP = &http.Server{Handler: s.store, ConnContext: s.store.ConnContext}
 	go func() {
 		// Serve returns only because stop closes the server.
 		_ = s.storeHTTP.Serve(l)
--- a/sidecar/discovery/await.go
+++ b/sidecar/discovery/await.go
@@ -12,7 +12,7 @@
 	err  error
 }
 
-// checkTimeout limits a check beside a call that waits; the next call is then made on a new connection.
+// checkTimeout limits a check beside a call that waits.
 const checkTimeout = 400 * time.Millisecond
 
 // errUnanswered ends a call that waits when a check beside it got no answer in time.
@@ -24,8 +24,8 @@
 // await waits at the store for changes after the position, or until a newer era is known.
 //
 // The response to a call that waits may be lost, and a connection on which that happened stays silent. While no daemon has
-// shown for CheckAfter that the configuration is the newest, the store is asked beside the call that waits. If that fails,
-// or tells of changes, the call that waits is given up.
+// shown for CheckAfter that the configuration is the newest, and none does so on Confirm, the store is asked beside the call
+// that waits. If that fails, or tells of changes, the call that waits is given up.
 func (f *Follower) await(ctx context.Context) (reading, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -39,8 +39,7 @@
 			return reading{}, errNewerEra
 		case <-f.check:
 		case <-time.After(f.untilCheck()):
-			if f.untilCheck() > 0 {
-				// Another daemon has shown meanwhile that the configuration is the newest.
+			if f.isConfirmed(ctx) {
 				continue
 			}
 		}
@@ -60,8 +59,16 @@
 	}
 }
 
-// judge reports whether the result of a check tells of changes, so that the wait is over. The connection of the check may be
-// silent too, so an outage shows only if the call after errUnanswered fails.
+// isConfirmed reports whether another daemon shows that the configuration is the newest, or has done so meanwhile.
+func (f *Follower) isConfirmed(ctx context.Context) bool {
+	if f.untilCheck() == 0 && f.Confirm != nil {
+		f.Confirm(ctx)
+	}
+	return f.untilCheck() > 0
+}
+
+// judge reports whether the result of a check tells of changes, so that the wait is over. A single check may be slow, so an
+// outage shows only if the call after errUnanswered fails.
 func (f *Follower) judge(checked result) (isOver bool, err error) {
 	if errors.Is(checked.err, context.DeadlineExceeded) {
 		return false, errUnanswered
--- a/sidecar/discovery/await_test.go
+++ b/sidecar/discovery/await_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,6 +28,12 @@
 
 // followWithChecks runs a follower for a span of virtual time. During is called once it runs.
 func followWithChecks(t *testing.T, s *scriptedStore, span time.Duration, during func(*discovery.Follower)) outcome {
+	t.Helper()
+	return followConfirmed(t, s, span, nil, during)
+}
+
+// followConfirmed is followWithChecks with another daemon that confirms the configuration.
+func followConfirmed(t *testing.T, s *scriptedStore, span time.Duration, confirm func(*discovery.Freshness), during func(*discovery.Follower)) outcome {
 	t.Helper()
 	var o outcome
 	synctest.Test(t, func(t *testing.T) {
@@ -42,6 +49,9 @@
 				}
 			},
 		}
+		if confirm != nil {
+			f.Confirm = func(context.Context) { confirm(f.Freshness) }
+		}
 		f.Run(ctx)
 		during(f)
 		time.Sleep(span)
@@ -98,3 +108,37 @@
 	})
 	assert.DeepEqual(t, o.keys, []string{"a", "b"})
 }
+
+func TestFollowerAsksNothingBesideAWaitWhileAnotherDaemonConfirmsTheConfiguration(t *testing.T) {
+	s := &scriptedStore{lists: []step{{page: page(5, "a")}}, feeds: []step{{page: page(5)}}}
+	asked := 0
+	confirm := func(f *discovery.Freshness) {
+		asked++
+		f.Record(time.Now())
+	}
+	followConfirmed(t, s, 10*time.Second, confirm, func(*discovery.Follower) {})
+	assert.Equal(t, s.calls, 3, "a list, a call that does not wait, and one that waits")
+	assert.Assert(t, asked >= 5 && asked <= 7, "asked %d times in 10 s", asked)
+}
+
+// It guards against a wait for the word of another daemon that has just been frozen.
+func TestFollowerFindsALostChangeInTimeOnceTheDaemonThatConfirmsFallsSilent(t *testing.T) {
+	s := &scriptedStore{
+		lists: []step{{page: page(5, "a")}},
+		feeds: []step{{page: page(5)}, {isSilent: true}, {page: page(6, "b")}, {page: page(6)}},
+	}
+	const askTime = 150 * time.Millisecond
+	var isFrozen atomic.Bool
+	confirm := func(f *discovery.Freshness) {
+		if isFrozen.Load() {
+			time.Sleep(askTime)
+			return
+		}
+		f.Record(time.Now())
+	}
+	o := followConfirmed(t, s, checkAfter+askTime+100*time.Millisecond, confirm, func(*discovery.Follower) {
+		time.Sleep(4 * checkAfter)
+		isFrozen.Store(true)
+	})
+	assert.DeepEqual(t, o.keys, []string{"a", "b"})
+}
--- a/sidecar/discovery/follower.go
+++ b/sidecar/discovery/follower.go
@@ -46,6 +46,9 @@
 	// CheckAfter returns the age of Freshness from which the follower asks the store beside a call that waits; it is set
 	// before Run, or nil for never.
 	CheckAfter func() time.Duration
+	// Confirm asks another daemon how old its configuration is, which may raise Freshness, before the follower asks the
+	// store beside a call that waits; it is set before Run, or nil.
+	Confirm func(ctx context.Context)
 
 	isDown  bool
 	backoff time.Duration
--- a/sidecar/discovery/prober.go
+++ b/sidecar/discovery/prober.go
@@ -27,6 +27,8 @@
 	unreachablePerRound = 16
 	// probeTimeout limits the wait for the reply to a probe.
 	probeTimeout = time.Second
+	// askTimeout limits the wait for the reply to Ask.
+	askTimeout = 150 * time.Millisecond
 	// pauseFactor is the multiple of probePeriod for a round, or of probeTimeout for a probe, above which the duration
 	// shows that this process itself was paused. The failure of such a probe is then not held against the other daemon.
 	pauseFactor = 3
@@ -253,12 +255,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	connection := p.Pool.Connection(address, class)
-	own := p.StateExchange.Probe(address)
-	var reply message.Probe
 	started := time.Now()
-	err := connection.Call(callCtx, peer.ServiceName+".Probe", &own, &reply)
+	reply, err := p.exchange(callCtx, connection, address)
 	if err == nil {
-		p.StateExchange.ReceiveProbe(reply)
 		p.catchUp(ctx, address, reply)
 		p.recordAge(started, reply)
 		return false
@@ -276,3 +275,31 @@
 	}
 	return hasTimedOut
 }
+
+// exchange sends a probe over a connection and records the state in the reply.
+func (p *Prober) exchange(ctx context.Context, c *peer.Connection, address string) (message.Probe, error) {
+	own := p.StateExchange.Probe(address)
+	var reply message.Probe
+	if err := c.Call(ctx, peer.ServiceName+".Probe", &own, &reply); err != nil {
+		return message.Probe{}, err
+	}
+	p.StateExchange.ReceiveProbe(reply)
+	return reply, nil
+}
+
+// Ask asks a daemon at once how old its configuration is, and waits for the reply for askTimeout. A daemon that does not
+// reply in that time does not count as unreachable.
+func (p *Prober) Ask(ctx context.Context, address string) {
+	callCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	started := time.Now()
+	reply, err := p.exchange(callCtx, p.Pool.Connection(address, peer.TrafficControl), address)
+	if err != nil {
+		p.Logger.Info("discovery: daemon does not say how old its configuration is", "daemon", address, "error", err)
+		return
+	}
+	p.recordAge(started, reply)
+	if reply.Version > p.Configuration.Version() {
+		go p.fetchNewer(ctx, reply.Record, reply.Version)
+	}
+}
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"siskinspar.example/sidecar/discovery"
@@ -54,7 +53,7 @@
 		f.stop = stop
 		follower := &discovery.Follower{
 			Table: s.Platform.ConfigurationTable, Store: s.Platform.Store, Era: &s.storeEra, Logger: s.Logger, OnRows: s.installRows, OnResult: s.recordFollowerResult,
-			OnMissed: s.announceMissed, Freshness: &s.freshness, CheckAfter: s.checkAfter,
+			OnMissed: s.announceMissed, Freshness: &s.freshness, CheckAfter: s.checkAfter, Confirm: s.confirmAge,
 		}
 		follower.Run(following)
 		s.follower.Store(follower)
@@ -74,15 +73,29 @@
 	return s.selector.MustFollow(now, s.neighbours(), s.isStoreDown(now), now.Add(-s.freshness.Age(now)))
 }
 
-// checkAfter returns the age of the configuration from which this daemon asks the store beside a call that waits.
+// checkAfter returns the age of the configuration from which this daemon doubts it beside a call that waits at the store.
 func (s *Sidecar) checkAfter() time.Duration {
-	now := time.Now()
-	centres := s.members.ReadingDataCentres()
-	if !s.isStoreDown(now) {
-		centres = append(centres, s.Settings.DataCentre)
-		slices.Sort(centres)
+	return s.selector.CheckAfter(s.Settings.ConfigurationBound, s.firstRelay(time.Now()))
+}
+
+// confirmAge asks the first relay of the mesh how old its configuration is, unless this daemon is that relay.
+func (s *Sidecar) confirmAge(ctx context.Context) {
+	if first := s.firstRelay(time.Now()); first != "" && first != s.Settings.Daemons {
+		s.prober.Ask(ctx, first)
+	}
+}
+
+// firstRelay returns the address of the first relay of the mesh, which asks the store for all: the first relay of the first
+// data centre that has a daemon which can read the store. It is empty if there is none.
+func (s *Sidecar) firstRelay(now time.Time) string {
+	centre, readers := s.members.FirstReaders()
+	if own := s.Settings.DataCentre; !s.isStoreDown(now) && (len(readers) == 0 || own <= centre) {
+		if own < centre {
+			readers = nil
+		}
+		centre, readers = own, append(readers, s.Settings.Daemons)
 	}
-	return s.selector.CheckAfter(s.Settings.ConfigurationBound, centres, s.relays(now))
+	return relay.FirstRelay(centre, readers)
 }
 
 // relays returns the addresses of the relays of this data centre.
--- a/sidecar/member/table.go
+++ b/sidecar/member/table.go
@@ -101,21 +101,22 @@
 	return ok && e.record.IsStoreDown
 }
 
-// ReadingDataCentres returns the data centres of the daemons that are neither stopping nor unreachable and can read the
-// store, in ascending order.
-func (t *Table) ReadingDataCentres() []string {
+// FirstReaders returns the addresses, in no order, of the daemons that are neither stopping nor unreachable and can read the
+// store, of the first data centre by name that has any.
+func (t *Table) FirstReaders() (dataCentre string, addresses []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var found []string
-	for _, e := range t.members {
-		if !e.isKnown || e.record.IsStopping || e.record.IsStoreDown || !e.unreachableSince.IsZero() {
+	for address, e := range t.members {
+		centre := e.record.DataCentre
+		if !e.isKnown || e.record.IsStopping || e.record.IsStoreDown || !e.unreachableSince.IsZero() || len(addresses) > 0 && centre > dataCentre {
 			continue
 		}
-		if i, ok := slices.BinarySearch(found, e.record.DataCentre); !ok {
-			found = slices.Insert(found, i, e.record.DataCentre)
+		if centre != dataCentre {
+			addresses = nil
 		}
+		dataCentre, addresses = centre, append(addresses, address)
 	}
-	return found
+	return dataCentre, addresses
 }
 
 // Len returns the number of daemons in the table.
--- a/sidecar/relay/selector.go
+++ b/sidecar/relay/selector.go
@@ -12,13 +12,11 @@
 	contactTimeout = 2 * time.Second
 	// contactJitter is the largest addition to contactTimeout; it spreads the calls of daemons that lose the same relays.
 	contactJitter = time.Second
-	// checkDelay is the longest time until a daemon learns from the probes of a round what another daemon knows; relays
-	// beside the first one wait so much longer before they ask the store.
-	checkDelay = 1100 * time.Millisecond
+	// checkDelay is the time that the first relay has for its call of the store before the other relays ask it for the
+	// result.
+	checkDelay = 100 * time.Millisecond
 	// minimumCheckAge is the least age of the configuration from which a relay asks the store.
 	minimumCheckAge = 500 * time.Millisecond
-	// checkJitter is the largest addition to checkDelay; it spreads the calls of relays.
-	checkJitter = time.Second
 	// holdTime is how long a daemon goes on following the store once it need not any more.
 	holdTime = 3 * time.Second
 )
@@ -53,7 +51,12 @@
 	if len(group) == 0 {
 		group = s.group(alive, isStoreDown, true)
 	}
-	relays := distribution.Relays(group, membership.DataCentre(s.DataCentre))
+	return relaysOf(group, s.DataCentre)
+}
+
+// relaysOf returns the addresses of the relays among the daemons of a data centre.
+func relaysOf(group []membership.Record, dataCentre string) []string {
+	relays := distribution.Relays(group, membership.DataCentre(dataCentre))
 	addresses := make([]string, len(relays))
 	for i, r := range relays {
 		addresses[i] = string(r.ID)
@@ -89,17 +92,30 @@
 	return !s.neededAt.IsZero() && now.Sub(s.neededAt) < holdTime
 }
 
-// CheckAfter returns the age of the configuration from which this daemon, as a relay, asks the store beside a call that
-// waits there for changes. Bound is the time within which all daemons have to notice what the store did not tell them; half
-// of it is left to spread a configuration. Centres are the data centres with a daemon that can read the store, in ascending
-// order: the first relay of the first of them asks in time, and the others only if they don't hear of that.
-func (s *Selector) CheckAfter(bound time.Duration, centres, relays []string) time.Duration {
-	isFirst := len(centres) > 0 && centres[0] == s.DataCentre && len(relays) > 0 && relays[0] == s.Address
+// CheckAfter returns the age of the configuration from which this daemon, as a relay, doubts it beside a call that waits at
+// the store for changes. Bound is the time within which all daemons have to notice what the store did not tell them; half
+// of it is left to spread a configuration. First is the address of the first relay of the mesh, which asks the store. The
+// others ask that relay a moment later, and the store themselves if it does not answer.
+func (s *Selector) CheckAfter(bound time.Duration, first string) time.Duration {
 	age := max(minimumCheckAge, bound/2)
-	if isFirst {
+	if first == s.Address {
 		return age
 	}
-	return age + checkDelay + time.Duration(s.Jitter*float64(checkJitter))
+	return age + checkDelay
+}
+
+// FirstRelay returns the address of the first relay among the daemons of a data centre that can read the store, or an empty
+// string if there are none.
+func FirstRelay(dataCentre string, readers []string) string {
+	group := make([]membership.Record, len(readers))
+	for i, address := range readers {
+		group[i] = membership.Record{ID: membership.ID(address)}
+	}
+	relays := relaysOf(group, dataCentre)
+	if len(relays) == 0 {
+		return ""
+	}
+	return relays[0]
 }
 
 func (s *Selector) isNeeded(now time.Time, alive []Member, isStoreDown bool, currentAt time.Time) bool {
