fix(discovery): count a suspension of the machine in the age of the configuration

Callers see: a machine that was suspended for seconds states an age that is too young by that time for one round, and others check later than they should.

Cause: the age was a difference of the steady clock, which does not count a suspension. The time of day does, and may be set back.

Change: the age is the longer of the two differences.

--- a/sidecar/discovery/freshness.go
+++ b/sidecar/discovery/freshness.go
@@ -25,11 +25,15 @@
 }
 
 // Age returns the time since the configuration in force was last known to be the newest, or UnknownAge.
-func (f *Freshness) Age(now time.Time) time.Duration {
+func (f *Freshness) Age(now time.Time) time.Duration { return f.age(now, now.Round(0)) }
+
+// age returns Age by the steady clock or by the time of day, whichever is longer: the steady clock does not count the time
+// for which the machine was suspended, and the time of day may have been set back.
+func (f *Freshness) age(steady, wall time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.currentAt.IsZero() {
 		return UnknownAge
 	}
-	return min(max(0, now.Sub(f.currentAt)), UnknownAge)
+	return min(max(0, steady.Sub(f.currentAt), wall.Sub(f.currentAt.Round(0))), UnknownAge)
 }
