fix(rowstore): give each call of the daemon a connection of its own

Callers see: connections to the store go silent for good while new ones work. A daemon that keeps several sends one call after the other on them, and each waits for its timeout of 0.4 to 2 s.

Cause: the HTTP client keeps up to four idle connections, and discards one only when a call on it has failed.

Change: the daemon's client keeps none. It makes a few calls a minute; each costs one more round trip. The older path keeps its connections.

Before: "context deadline exceeded" after 1 s. After: passes.

--- a/cmd/instance/sidecar.go
+++ b/cmd/instance/sidecar.go
@@ -71,7 +71,7 @@
 	return sidecar.Platform{
 		Headers:            dialect.Headers{},
 		Configuration:      dialect.Configurations{},
-		Store:              rowstore.NewClient(store),
+		Store:              rowstore.NewUnpooledClient(store),
 		ConfigurationTable: dialect.ConfigurationTable,
 		ConfigurationKey:   dialect.ConfigurationKey,
 		NewAnnouncements: func(o *owner.Owner, l *slog.Logger) http.Handler {
--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -134,7 +134,7 @@
 func (d *deployment) start(i *instance) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &sidecar.Sidecar{Settings: i.settings, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Platform: sidecar.Platform{
-		Headers: dialect.Headers{}, Configuration: dialect.Configurations{}, Store: rowstore.NewClient(i.settings.Store),
+		Headers: dialect.Headers{}, Configuration: dialect.Configurations{}, Store: rowstore.NewUnpooledClient(i.settings.Store),
 		ConfigurationTable: dialect.ConfigurationTable, ConfigurationKey: dialect.ConfigurationKey,
 		NewAnnouncements: func(o *owner.Owner, l *slog.Logger) http.Handler { return &dialect.Announcements{Owner: o, Logger: l} },
 	}}
