fix(sidecar): let every daemon read a suspected store, not about eight

Callers see: the store gives no response to all machines but a few, and serves those. A machine that it serves handles requests as the older configuration says, since nobody there reads the store.

Cause: once a relay gets no answer, the other relays and about eight daemons drawn at random read the store.

Change: every daemon reads it once, spread over 4 ms a daemon and 0.4 s at most, unless it learns meanwhile that its configuration is the newest.

In a mesh of 90 an outage to some machines costs up to 90 calls, some 70 more than before.

--- a/sidecar/store_test.go
+++ b/sidecar/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -166,6 +167,41 @@
 	}
 }
 
+// It guards against a store that serves one machine only, of which nobody knows that it could read the configuration.
+func TestAConfigurationIsInForceInTimeAtTheOnlyDaemonThatTheStoreServes(t *testing.T) {
+	for seed := range 2 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			d.configure(1, "desk")
+			for n := range 30 {
+				d.addIn(fmt.Sprint("zone-", n%3), "desk")
+			}
+			for _, i := range d.instances {
+				d.awaitVersion(i, 1)
+			}
+			time.Sleep(5 * time.Second)
+			relays := d.awaitWaitingCalls(6)
+			var silenced []string
+			var served *instance
+			for _, i := range d.instances {
+				if served == nil && !slices.Contains(relays, i.settings.Instance) {
+					served = i
+				} else {
+					silenced = append(silenced, i.settings.Instance)
+				}
+			}
+			d.store.SetFault(platform.Fault{Mode: platform.ModeSilent, Callers: silenced})
+			d.configure(2, "hub")
+			written := time.Now()
+			d.awaitVersion(served, 2)
+			took := time.Since(written)
+			t.Log("in force after", took)
+			assert.Check(t, took <= configurationBound, "in force after %v", took)
+		})
+	}
+}
+
 func TestADaemonFindsTheOthersBesideOddRows(t *testing.T) {
 	d := newDeployment(t)
 	d.configure(1, "desk")
--- a/sidecar/suspicion.go
+++ b/sidecar/suspicion.go
@@ -10,15 +10,14 @@
 )
 
 const (
-	// suspicionReaders is the mean number of daemons beside the relays that read the store when a daemon finds that it can't.
-	// The store may serve some machines only, so one would not do.
-	suspicionReaders = 8
 	// suspicionAge is the age of the configuration from which a suspicion is a reason to read the store.
 	suspicionAge = 500 * time.Millisecond
 	// suspicionPause is the shortest time between two such reads of one daemon.
 	suspicionPause = 2 * time.Second
-	// suspicionSpread is the longest delay before such a read, which spreads those of all daemons.
-	suspicionSpread = 100 * time.Millisecond
+	// readSpacing is the mean time between the reads of two daemons because of the same suspicion, and maximumReadSpread the
+	// longest delay of one.
+	readSpacing       = 4 * time.Millisecond
+	maximumReadSpread = 400 * time.Millisecond
 	// suspicionTimeout limits such a read, which the store answers at once.
 	suspicionTimeout = 1200 * time.Millisecond
 	// suspicionMemory is how long after a suspicion configurations of other data centres are fetched without delay.
@@ -58,8 +57,8 @@
 }
 
 // suspectStore makes this daemon read the configuration at the store itself, since another daemon has found that it can't,
-// and this one may have relied on it: each relay does, and a few of the other daemons, unless the configuration has just
-// been known to be the newest.
+// and this one may have relied on it, unless the configuration has just been known to be the newest. Every daemon does so:
+// the store may serve any few of them only.
 func (s *Sidecar) suspectStore(now time.Time) {
 	s.suspicion.hear(now)
 	if s.freshness.Age(now) < suspicionAge {
@@ -69,15 +68,23 @@
 		f.Check()
 		return
 	}
-	isDrawn := rand.Float64()*float64(s.members.Len()+1) < suspicionReaders
-	if isDrawn && !s.isStoreDown(now) && s.suspicion.beginRead(now) {
+	if !s.isStoreDown(now) && s.suspicion.beginRead(now) {
 		go s.readConfiguration(s.following)
 	}
 }
 
-// readConfiguration reads the configuration at the store once, and tells all daemons if it is newer.
+// readSpread is the time over which the reads of all daemons are spread that one suspicion causes.
+func (s *Sidecar) readSpread() time.Duration {
+	return min(readSpacing*time.Duration(s.members.Len()+1), maximumReadSpread)
+}
+
+// readConfiguration reads the configuration at the store once, and tells all daemons if it is newer. It does not if another
+// daemon shows meanwhile that the configuration is the newest.
 func (s *Sidecar) readConfiguration(ctx context.Context) {
-	pause(ctx, rand.N(suspicionSpread))
+	pause(ctx, rand.N(s.readSpread()))
+	if s.freshness.Age(time.Now()) < suspicionAge {
+		return
+	}
 	limited, cancel := context.WithTimeout(ctx, suspicionTimeout)
 	defer cancel()
 	asked := time.Now()
