fix(departure): keep on the store which backend servers have left

Callers see: all daemons are killed right after one has acknowledged that its backend server leaves. A heartbeat that the server sent before comes late, and the server gets requests again, seconds after drainS.

Cause: that a server has left was kept in the memory of daemons only. A daemon that starts again learns of it from the others; where all are killed, or the one that acknowledged before it told any, nobody knows.

Change: package departure. A daemon writes a row for each leave, with the ID and the start of the server, before it acknowledges it; it waits 0.4 s at most, and not at all while the store does not answer. What is owed is written once the store answers, and again after the store came back from an older copy. At its start it reads its own rows, and the drains of several servers are remembered, not of the latest alone. Rows count for ten minutes, and are deleted with the next write after that.

The soak gets the same order of events as a fault. Its faults of the store no longer overlap each other.

--- a/cmd/soak/export_test.go
+++ b/cmd/soak/export_test.go
@@ -5,6 +5,11 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"siskinspar.example/standin/application"
+	"siskinspar.example/standin/platform"
 )
 
 // Start starts the store, the daemons and their backend servers, as Run does, for tests that inject faults of their own.
@@ -39,3 +44,51 @@
 	}
 	return time.Since(began)
 }
+
+// SetStoreFault sets the fault of the store.
+func (s *Soak) SetStoreFault(f platform.Fault) { s.store.SetFault(f) }
+
+// CopyStore returns a copy of the store, which Restore brings back with the latest configuration.
+func (s *Soak) CopyStore() *platform.Copy { return s.store.Copy() }
+
+// Restore brings the store back from a copy.
+func (s *Soak) Restore(c *platform.Copy) { s.restoreStore(c) }
+
+// Server returns the backend server of an instance.
+func (s *Soak) Server(index int) *application.Server { return s.instances[index].server }
+
+// KillAll kills all daemons at once.
+func (s *Soak) KillAll() { s.killAll() }
+
+// StartDaemons starts all daemons again.
+func (s *Soak) StartDaemons() error { return s.startAll() }
+
+// AwaitReady waits until all daemons are ready.
+func (s *Soak) AwaitReady() error { return s.awaitReady() }
+
+// RecordLeave records that a daemon has acknowledged that the backend server of an instance leaves.
+func (s *Soak) RecordLeave(index int, at time.Time) {
+	s.checker.recordDraining(s.instances[index].server.ID, at)
+}
+
+// SendRequests makes each instance send some requests at once, several times.
+func (s *Soak) SendRequests(rounds int) {
+	var group conc.WaitGroup
+	for n, i := range s.instances {
+		for k := range clientsPerInstance {
+			c := newClient(i, s.checker, fmt.Sprintf("%s-%d-%d", i.name, k, time.Now().UnixNano()), uint64(n))
+			group.Go(func() {
+				for range rounds {
+					c.send()
+				}
+			})
+		}
+	}
+	group.Wait()
+}
+
+// Answered returns the number of requests that were answered, and Violations the promises that were broken.
+func (s *Soak) Answered() int { return s.checker.answered }
+
+// Violations returns the promises that were broken.
+func (s *Soak) Violations() []string { return s.checker.Violations() }
--- a/cmd/soak/fault.go
+++ b/cmd/soak/fault.go
@@ -43,6 +43,7 @@
 		})},
 		{"store restored from a copy", restoreStore},
 		{"configuration while the store is silent", configureSilently},
+		{"leave, then all daemons killed, then a late heartbeat", leaveAndKillAll},
 	}
 }
 
@@ -90,6 +91,35 @@
 	return nil
 }
 
+// leaveAndKillAll makes a backend server leave, kills all daemons right after that was acknowledged and starts them again.
+// A heartbeat from before arrives late. The store works meanwhile, since a leave that it can't keep is lost.
+func leaveAndKillAll(ctx context.Context, s *Soak, r *rand.Rand) error {
+	s.storeInUse.Lock()
+	defer s.storeInUse.Unlock()
+	s.acquireAll()
+	defer s.releaseAll()
+	leaving := s.instances[r.IntN(len(s.instances))]
+	sendLate, err := leaving.server.HoldHeartbeat()
+	if err != nil {
+		return err
+	}
+	acknowledged, err := leaving.server.Leave(ctx)
+	if err == nil {
+		s.checker.recordDraining(leaving.server.ID, acknowledged)
+	}
+	s.killAll()
+	pause(r, time.Second)
+	if err := s.startAll(); err != nil {
+		return err
+	}
+	pause(r, 3*time.Second)
+	// The error is ignored: the daemon may not run yet, and then gets no late heartbeat.
+	_ = sendLate(ctx)
+	time.Sleep(drainTime)
+	leaving.server.Crash()
+	return leaving.startServer(s.checker, 0)
+}
+
 // restart stops the daemon with SIGTERM and starts it again; it returns an error if the daemon outlives graceTime.
 func restart(_ context.Context, _ *Soak, i *instance, _ *rand.Rand) error {
 	i.signal(syscall.SIGTERM)
@@ -122,6 +152,8 @@
 
 // storeFault makes the store fail in a random mode for up to 3 s.
 func storeFault(_ context.Context, s *Soak, r *rand.Rand) error {
+	s.storeInUse.Lock()
+	defer s.storeInUse.Unlock()
 	modes := []platform.Mode{
 		platform.ModeDown, platform.ModeBusy, platform.ModeThrottled, platform.ModeSlow, platform.ModeReset, platform.ModeLostAnswer, platform.ModeDelayedWrite,
 	}
@@ -134,6 +166,8 @@
 
 // configureSilently writes a configuration while the store gives no response, for up to 5 s.
 func configureSilently(_ context.Context, s *Soak, r *rand.Rand) error {
+	s.storeInUse.Lock()
+	defer s.storeInUse.Unlock()
 	s.store.SetFault(platform.Fault{Mode: platform.ModeSilent})
 	pause(r, 2*time.Second)
 	s.putConfiguration()
@@ -145,6 +179,8 @@
 // restoreStore takes a copy of the store, writes up to two configurations within 2 s, and brings the store back from the
 // copy after an outage of up to 1 s.
 func restoreStore(_ context.Context, s *Soak, r *rand.Rand) error {
+	s.storeInUse.Lock()
+	defer s.storeInUse.Unlock()
 	older := s.store.Copy()
 	for range r.IntN(3) {
 		pause(r, time.Second)
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -67,6 +67,8 @@
 	mu           sync.Mutex
 	// inUse holds the instances on which a fault is in progress.
 	inUse map[*instance]bool
+	// storeInUse is held while a fault is in progress for which the state of the store matters; it is acquired before mu.
+	storeInUse sync.Mutex
 	// version is the number of the last configuration in the store.
 	version int
 }
@@ -155,13 +157,10 @@
 // acquire picks a random instance for a fault and marks it as in use. It returns false if that instance is in use
 // already.
 func (s *Soak) acquire(r *rand.Rand) (*instance, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	i := s.instances[r.IntN(len(s.instances))]
-	if s.inUse[i] {
+	if !s.tryAcquire(i) {
 		return nil, false
 	}
-	s.inUse[i] = true
 	return i, true
 }
 
@@ -172,6 +171,53 @@
 	delete(s.inUse, i)
 }
 
+// acquireAll marks all instances as in use, once the faults on them have ended. Only one fault at a time may call it.
+func (s *Soak) acquireAll() {
+	for _, i := range s.instances {
+		for !s.tryAcquire(i) {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// tryAcquire marks an instance as in use and reports false if it is in use already.
+func (s *Soak) tryAcquire(i *instance) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inUse[i] {
+		return false
+	}
+	s.inUse[i] = true
+	return true
+}
+
+// releaseAll marks all instances as free.
+func (s *Soak) releaseAll() {
+	for _, i := range s.instances {
+		s.release(i)
+	}
+}
+
+// killAll kills all daemons at once.
+func (s *Soak) killAll() {
+	for _, i := range s.instances {
+		i.signal(syscall.SIGKILL)
+	}
+	for _, i := range s.instances {
+		<-i.exited
+	}
+}
+
+// startAll starts all daemons again.
+func (s *Soak) startAll() error {
+	for _, i := range s.instances {
+		if err := i.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // start starts the store, the daemons and their backend servers, and waits until all daemons are ready and have had
 // time for two announcements.
 func (s *Soak) start() error {
@@ -184,6 +230,15 @@
 			return err
 		}
 	}
+	if err := s.awaitReady(); err != nil {
+		return err
+	}
+	time.Sleep(2 * heartbeat)
+	return nil
+}
+
+// awaitReady waits until all daemons are ready.
+func (s *Soak) awaitReady() error {
 	deadline := time.Now().Add(readyTimeout)
 	for _, i := range s.instances {
 		for !i.isReady() {
@@ -193,7 +248,6 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
-	time.Sleep(2 * heartbeat)
 	return nil
 }
 
--- a/sidecar/calls.go
+++ b/sidecar/calls.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"siskinspar.example/sidecar/departure"
 	"siskinspar.example/sidecar/discovery"
 	"siskinspar.example/sidecar/message"
 )
@@ -86,6 +87,7 @@
 	s.entry.MergeClientRoutes(p.ClientRoutes)
 	if p.Left.ID != "" {
 		s.owner.RecordDrain(p.Left)
+		s.departures.Learn(departure.New(p.Left.ID, p.Left.Born, now))
 	}
 	if p.Limited.ID != "" {
 		s.owner.RecordLimit(p.Limited)
--- a/sidecar/owner/announce.go
+++ b/sidecar/owner/announce.go
@@ -35,9 +35,18 @@
 		o.Logger.Warn("owner: announcement ignored", "server", s.ID, "error", err)
 		return false
 	}
+	isChanged := o.apply(s)
+	if s.State == member.Draining {
+		o.leave(s)
+	}
+	return isChanged
+}
+
+// apply applies an announcement of the server beside the daemon and reports whether its ID, state or incarnation changed.
+func (o *Owner) apply(s member.Server) bool {
 	o.mu.Lock()
 	previous := o.server
-	if o.hasUnmatchedDrain(s) {
+	if o.drains.has(s) {
 		s.State = member.Draining
 	}
 	switch {
--- a/sidecar/owner/drain.go
+++ b/sidecar/owner/drain.go
@@ -7,42 +7,78 @@
 	"siskinspar.example/sidecar/message"
 )
 
-// RecordDrain applies the report of another daemon that an incarnation of the backend server has announced its drain to
-// this daemon. This daemon does not know of the drain any more if it restarted since, and an earlier announcement may
-// still arrive. The report is stored as unmatchedDrain unless the stored one has a later Born.
+// maximumDrains bounds the drains that an owner remembers, those of the latest servers.
+const maximumDrains = 64
+
+// drains are drains by the ID of the backend server: all its incarnations that started at the value or before, in
+// milliseconds since 1970, count as draining.
+type drains map[string]int64
+
+// add adds a drain and forgets the one of the earliest server if there are more than maximumDrains.
+func (d drains) add(id string, born int64) {
+	d[id] = max(d[id], born)
+	if len(d) <= maximumDrains {
+		return
+	}
+	earliest := id
+	for other, b := range d {
+		if b < d[earliest] {
+			earliest = other
+		}
+	}
+	delete(d, earliest)
+}
+
+// has reports whether an incarnation counts as draining.
+func (d drains) has(s member.Server) bool {
+	born, ok := d[s.ID]
+	return ok && s.Born <= born
+}
+
+// RecordDrain applies the report of another daemon, or of the store, that an incarnation of the backend server has
+// announced its drain to this daemon. This daemon does not know of the drain any more if it restarted since, and an earlier
+// announcement may still arrive.
 func (o *Owner) RecordDrain(s member.Server) {
 	o.mu.Lock()
-	if s.Born >= o.unmatchedDrain.Born {
-		o.unmatchedDrain = s
-	}
-	isDraining := o.hasUnmatchedDrain(o.server)
+	o.drains.add(s.ID, s.Born)
+	isDraining := o.drains.has(o.server)
 	o.mu.Unlock()
 	if isDraining {
-		o.Drain(s.ID)
+		o.drain(s.ID)
 	}
 }
 
-// hasUnmatchedDrain reports whether an incarnation counts as draining because of unmatchedDrain; the caller holds the
-// lock.
-func (o *Owner) hasUnmatchedDrain(s member.Server) bool {
-	return s.ID != "" && s.ID == o.unmatchedDrain.ID && s.Born <= o.unmatchedDrain.Born
-}
-
 // Drain starts the drain of the backend server with an ID, which has announced it, and reports whether its state
 // changed.
 //
-// A daemon that has restarted may not know the ID yet. It then stores the drain as unmatchedDrain, so that a late
-// announcement of an incarnation that started before counts as draining. The two times are comparable, because the
-// start of an incarnation and the time of this call come from the clock of the same instance.
+// A daemon that has restarted may not know the ID yet. It then remembers the drain, so that a late announcement of an
+// incarnation that started before counts as draining. The two times are comparable, because the start of an incarnation
+// and the time of this call come from the clock of the same instance.
 func (o *Owner) Drain(id string) bool {
 	o.mu.Lock()
-	if o.server.ID != id {
-		o.unmatchedDrain = member.Server{ID: id, Born: time.Now().UnixMilli()}
-		o.mu.Unlock()
+	leaving := o.server
+	if leaving.ID != id {
+		leaving = member.Server{ID: id, Born: time.Now().UnixMilli()}
+		o.drains.add(id, leaving.Born)
 		o.Logger.Info("owner: drain of an unknown backend server", "server", id)
-		return false
 	}
-	if o.server.State == member.Draining {
+	o.mu.Unlock()
+	isChanged := o.drain(id)
+	o.leave(leaving)
+	return isChanged
+}
+
+// leave passes on that a backend server has announced its drain.
+func (o *Owner) leave(s member.Server) {
+	if o.OnLeave != nil {
+		o.OnLeave(s)
+	}
+}
+
+// drain starts the drain of the backend server if it has the ID, and reports whether its state changed.
+func (o *Owner) drain(id string) bool {
+	o.mu.Lock()
+	if o.server.ID != id || o.server.State == member.Draining {
 		o.mu.Unlock()
 		return false
 	}
--- a/sidecar/owner/notice.go
+++ b/sidecar/owner/notice.go
@@ -24,7 +24,7 @@
 	}
 	o.mu.Unlock()
 	if isCurrent && n.IsLeaving {
-		o.Drain(id)
+		o.drain(id)
 	}
 }
 
--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -77,6 +77,9 @@
 	Link slot.Link
 	// OnChange is called without the lock after the ID, the state or the incarnation of the backend server has changed.
 	OnChange func()
+	// OnLeave is called without the lock when the backend server has announced its drain, before that is acknowledged. It
+	// may wait until the drain is kept on the store; it is set before use, or nil.
+	OnLeave func(s member.Server)
 	// OnDial is called for each connection that is opened to the backend server.
 	OnDial func()
 	// MaximumAnswerSize is the largest body of an answer in bytes, or 0 for the limit of package upstream.
@@ -106,11 +109,10 @@
 	hasNotice bool
 	// previousLimit is the backend server with the rate limit that this daemon reported before it restarted.
 	previousLimit member.Server
-	// unmatchedDrain is a drain of which this daemon has learned without the announcement of the server: from a drain
-	// call with an ID that it does not know, or from the report of another daemon. It is needed after a restart of this
-	// daemon. All incarnations of the server with this ID that started at Born or before count as draining. Only ID and
-	// Born are used.
-	unmatchedDrain member.Server
+	// drains are those of which this daemon has learned without the announcement of the server: from a drain call with an
+	// ID that it does not know, from the store or from the report of another daemon. They are needed after a restart of
+	// this daemon.
+	drains drains
 	// isRefusing is true once Refuse was called.
 	isRefusing bool
 	// end is when this daemon ends, once StopBy has set it.
@@ -147,6 +149,7 @@
 func (o *Owner) Run() {
 	o.slots = slot.NewController()
 	o.slots.Link = o.Link
+	o.drains = drains{}
 	o.calls = map[callKey]*trackedCall{}
 	o.tickets = map[slot.Ticket]*trackedCall{}
 	o.done = make(chan struct{})
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 
 	"siskinspar.example/sidecar/bandwidth"
 	"siskinspar.example/sidecar/configuration"
+	"siskinspar.example/sidecar/departure"
 	"siskinspar.example/sidecar/discovery"
 	"siskinspar.example/sidecar/entry"
 	"siskinspar.example/sidecar/ingress"
@@ -35,11 +36,17 @@
 	owner.Headers
 }
 
+// Store is the part of the platform's store that the daemon uses.
+type Store interface {
+	discovery.Store
+	departure.Store
+}
+
 // Platform holds what the daemon uses of its platform, as the platform's adapter provides it.
 type Platform struct {
 	Headers       Headers
 	Configuration configuration.Decoder
-	Store         discovery.Store
+	Store         Store
 	// ConfigurationTable and ConfigurationKey name the row of the newest configuration.
 	ConfigurationTable string
 	ConfigurationKey   string
@@ -63,6 +70,7 @@
 	memory        *memory.Budget
 	pool          *peer.Pool
 	owner         *owner.Owner
+	departures    *departure.Book
 	quarantine    *Quarantine
 	entry         *entry.Handler
 	prober        *discovery.Prober
@@ -108,6 +116,7 @@
 	s.startOwner()
 	s.newEntry()
 	s.startProber(following)
+	s.departures.Run(following)
 	if err := s.startListeners(); err != nil {
 		return err
 	}
@@ -138,6 +147,10 @@
 const extraRequests = 1
 
 func (s *Sidecar) startOwner() {
+	s.departures = &departure.Book{
+		Daemon: s.Settings.Daemons, Store: s.Platform.Store, Era: &s.storeEra, Logger: s.Logger, IsNew: s.Settings.IsFirstStart,
+		OnRead: func(d departure.Departure) { s.owner.RecordDrain(member.Server{ID: d.Server(), Born: d.Born()}) },
+	}
 	s.owner = &owner.Owner{
 		Logger: s.Logger, Headers: s.Platform.Headers, Address: s.Settings.Daemons, Service: s.Settings.Service, Incarnation: s.incarnation, ExtraRequests: extraRequests, OnChange: s.sendRecord, Link: s.pacer,
 		MaximumConnections: func(service string) int {
@@ -147,7 +160,8 @@
 			return 0
 		},
 		MaximumAnswerSize: int(answerMemoryShare * float64(s.Settings.MemoryBytes)), Memory: s.memory,
-		OnDial: func() { metrics.GetOrRegisterCounter("owner.dials", s.registry).Inc(1) },
+		OnLeave: func(server member.Server) { s.departures.Record(departure.New(server.ID, server.Born, time.Now())) },
+		OnDial:  func() { metrics.GetOrRegisterCounter("owner.dials", s.registry).Inc(1) },
 	}
 	s.owner.Run()
 }
--- a/standin/application/announce.go
+++ b/standin/application/announce.go
@@ -73,8 +73,34 @@
 	return time.Time{}, ctx.Err()
 }
 
+// Leave stops the heartbeats and tells the daemon that the server is gone, without a drain before. It returns the time of
+// the acknowledgement, or an error. The server still runs requests.
+func (s *Server) Leave(ctx context.Context) (time.Time, error) {
+	s.stopHeartbeats()
+	<-s.heartbeatsDone
+	if err := s.call(ctx, "instances.deregister", nil); err != nil {
+		return time.Time{}, err
+	}
+	return time.Now(), nil
+}
+
+// HoldHeartbeat returns the function that sends a heartbeat of this moment, as ready, when it is called, as one that is late.
+func (s *Server) HoldHeartbeat() (send func(ctx context.Context) error, err error) {
+	content, err := s.nextHeartbeat("ready")
+	return func(ctx context.Context) error { return s.call(ctx, "instances.heartbeat", content) }, err
+}
+
 // sendHeartbeat sends one heartbeat with a state; an error means that the daemon may not have received it.
 func (s *Server) sendHeartbeat(ctx context.Context, state string) error {
+	content, err := s.nextHeartbeat(state)
+	if err != nil {
+		return err
+	}
+	return s.call(ctx, "instances.heartbeat", content)
+}
+
+// nextHeartbeat returns the body of the next heartbeat.
+func (s *Server) nextHeartbeat(state string) ([]byte, error) {
 	s.mu.Lock()
 	s.sequence++
 	a := announcement{
@@ -87,22 +113,24 @@
 		a.Address = s.AdvertisedAddress
 	}
 	content, err := json.Marshal(a)
-	if err != nil {
-		return eris.Wrap(err, "encode the heartbeat")
-	}
+	return content, eris.Wrap(err, "encode the heartbeat")
+}
+
+// call makes one call of the daemon; an error means that the daemon may not have received it.
+func (s *Server) call(ctx context.Context, name string, body []byte) error {
 	timed, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(timed, http.MethodPost, "http://"+s.DaemonAddress+"/rpc?call=instances.heartbeat&of="+s.ID, bytes.NewReader(content))
+	r, err := http.NewRequestWithContext(timed, http.MethodPost, "http://"+s.DaemonAddress+"/rpc?call="+name+"&of="+s.ID, bytes.NewReader(body))
 	if err != nil {
-		return eris.Wrap(err, "build the heartbeat")
+		return eris.Wrap(err, "build the call")
 	}
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return eris.Wrap(err, "send the heartbeat")
+		return eris.Wrap(err, "send the call")
 	}
 	defer response.Body.Close()
 	if response.StatusCode/100 != 2 {
-		return eris.Errorf("the daemon answered the heartbeat with %s", response.Status)
+		return eris.Errorf("the daemon answered %s with %s", name, response.Status)
 	}
 	return nil
 }
