test(sidecar): vary which machines the store is silent to, how, when and under load

All relays at three moments, with heads that come, under load; one relay; all but one; none. The three cases of before are among them.

--- a/sidecar/path_test.go
+++ b/sidecar/path_test.go
@@ -172,6 +172,26 @@
 	return response.StatusCode, response.Header.Get("Instance-Id")
 }
 
+// startLoad starts clients at each instance, each of which sends one request after the other, and returns the function that
+// ends them.
+func (d *deployment) startLoad(clients int) (stop func()) {
+	var ended atomic.Bool
+	var group sync.WaitGroup
+	for _, i := range d.instances {
+		for range clients {
+			group.Go(func() {
+				for !ended.Load() {
+					d.get(i)
+				}
+			})
+		}
+	}
+	return func() {
+		ended.Store(true)
+		group.Wait()
+	}
+}
+
 // await repeats requests to an instance until one is answered by one of the servers, and fails after 20 seconds.
 func (d *deployment) await(i *instance, servers ...string) {
 	d.t.Helper()
--- a/sidecar/store_test.go
+++ b/sidecar/store_test.go
@@ -138,23 +138,51 @@
 // configurationBound is the time within which a configuration has to be in force at a daemon that can reach the store.
 const configurationBound = 2 * time.Second
 
+// newRelayedDeployment returns a deployment of 12 daemons in three data centres, of which just the relays wait at the store,
+// and their names.
+func newRelayedDeployment(t *testing.T) (d *deployment, relays []string) {
+	t.Helper()
+	d = newDeployment(t)
+	d.configure(1, "desk")
+	for n := range 12 {
+		d.addIn(fmt.Sprint("zone-", n%3), "desk")
+	}
+	for _, i := range d.instances {
+		d.awaitVersion(i, 1)
+	}
+	// Those that followed the store at the start have left it to the relays by then.
+	time.Sleep(5 * time.Second)
+	return d, d.awaitWaitingCalls(6)
+}
+
 func TestAConfigurationIsInForceInTimeWhileTheStoreIsSilentToTheRelays(t *testing.T) {
-	for seed := range 3 {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+	all := func(relays []string) []string { return relays }
+	for _, c := range []struct {
+		name string
+		mode platform.Mode
+		// silenced returns the instances to which the store is silent.
+		silenced func(relays []string) []string
+		// phase is the time since the relays were found.
+		phase time.Duration
+		// load is the number of clients at each instance.
+		load int
+	}{
+		{name: "all relays", mode: platform.ModeSilent, silenced: all},
+		{name: "all relays, later", mode: platform.ModeSilent, silenced: all, phase: 400 * time.Millisecond},
+		{name: "all relays, later still", mode: platform.ModeSilent, silenced: all, phase: 800 * time.Millisecond},
+		{name: "all relays, the head of each response comes", mode: platform.ModeHeadOnly, silenced: all},
+		{name: "all relays, under load", mode: platform.ModeSilent, silenced: all, load: 4},
+		{name: "one relay", mode: platform.ModeSilent, silenced: func(relays []string) []string { return relays[:1] }},
+		{name: "all relays but one", mode: platform.ModeSilent, silenced: func(relays []string) []string { return relays[1:] }},
+		{name: "none", mode: platform.ModeNone, silenced: all},
+	} {
+		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			d := newDeployment(t)
-			d.configure(1, "desk")
-			for n := range 12 {
-				d.addIn(fmt.Sprint("zone-", n%3), "desk")
-			}
-			for _, i := range d.instances {
-				d.awaitVersion(i, 1)
-			}
-			// Those that followed the store at the start have left it to the relays by then.
-			time.Sleep(5 * time.Second)
-			relays := d.awaitWaitingCalls(6)
-			time.Sleep(time.Duration(seed) * 400 * time.Millisecond)
-			d.store.SetFault(platform.Fault{Mode: platform.ModeSilent, Callers: relays})
+			d, relays := newRelayedDeployment(t)
+			stopLoad := d.startLoad(c.load)
+			defer stopLoad()
+			time.Sleep(c.phase)
+			d.store.SetFault(platform.Fault{Mode: c.mode, Callers: c.silenced(relays)})
 			d.configure(2, "hub")
 			written := time.Now()
 			for _, i := range d.instances {
