fix(standin): announce a backend server only once its address is served

A stand-in of a backend server whose address was taken went on to announce it, since it announced before it listened and then waited for the end of its announcements: requests went to the stranger at the address. The stand-in of the platform ended with an error that nobody read.

The daemon says "daemon: started" once all its parts run, as the sidecar does.

--- a/cmd/command/daemon.go
+++ b/cmd/command/daemon.go
@@ -38,6 +38,7 @@
 	if err := d.Start(); err != nil {
 		return err
 	}
+	d.Logger.Info("daemon: started", "instance", s.Instance.Name)
 	<-ctx.Done()
 	go exitOnSecondSignal(d)
 	d.Stop()
--- a/cmd/trial/standin.go
+++ b/cmd/trial/standin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -36,8 +37,11 @@
 			&cli.FloatFlag{Name: "reads", Usage: "largest number of `READS` per second, 0 for no limit"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			s := &platform.Server{WritesPerSecond: c.Float("writes"), ReadsPerSecond: c.Float("reads")}
-			return serve(ctx, c.String("listen"), s)
+			l, err := listen(c)
+			if err != nil {
+				return err
+			}
+			return serve(ctx, l, &platform.Server{WritesPerSecond: c.Float("writes"), ReadsPerSecond: c.Float("reads")})
 		},
 	}
 }
@@ -74,19 +78,34 @@
 			TimeToLive: 3, HealthPath: "/standin/health", LoadPath: "/standin/load",
 		},
 	}
-	a.Start(ctx)
-	err = serve(ctx, c.String("listen"), s)
+	// Only an address that is served here is announced.
+	l, err := listen(c)
+	if err != nil {
+		return err
+	}
+	announcing, stopAnnouncing := context.WithCancel(ctx)
+	defer stopAnnouncing()
+	a.Start(announcing)
+	err = serve(ctx, l, s)
+	stopAnnouncing()
 	<-a.Done()
 	return err
 }
 
-// serve serves requests on an address until the context ends, then waits up to 10 s for the requests in flight. It
-// returns an error if it can't listen, if serving fails, or if the wait times out.
-func serve(ctx context.Context, address string, h http.Handler) error {
+// listen opens the listener of a stand-in and logs its address. The error names an address that is taken.
+func listen(c *cli.Command) (net.Listener, error) {
+	address := c.String("listen")
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return eris.Wrapf(err, "listen on %s", address)
+		return nil, eris.Wrapf(err, "listen on %s", address)
 	}
+	option.NewLogger(c.Root().ErrWriter, slog.LevelInfo).Info("standin: listening", "address", address)
+	return l, nil
+}
+
+// serve serves requests until the context ends, then waits up to 10 s for the requests in flight. It returns an error if
+// serving fails, or if the wait times out.
+func serve(ctx context.Context, l net.Listener, h http.Handler) error {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: option.RequestTimeout}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(l) }()
