test(child): end every process of a test with it, and know it from a stranger

A test run that was ended by SIGKILL left its processes behind. The next run claimed the same loopback network; its own stand-in of the platform could not listen and ended unnoticed, and the daemons spoke to the old one, which knew the answers to the same keys. With the whole group of tests killed, the test that failed was the one at the address that was taken, so which test it is depends on the moment.

Package child starts the processes of tests, soaks and measurements. On Linux the kernel kills a child with the process that started it (the parent's death signal), also one that is suspended, which a pipe that closes or a process group would not do. The signal is tied to the thread that starts the child, so one thread, which never ends, starts them all. A start waits until the child says in its own output that it serves; one that ends before fails the test at once, with its arguments and its output. Keys of peers, tokens and idempotency keys differ from run to run.

--- a/capacity/slope/process_test.go
+++ b/capacity/slope/process_test.go
@@ -1,6 +1,7 @@
 package slope_test
 
 import (
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -18,6 +19,7 @@
 	"siskinspar.example/capacity/slope"
 	"siskinspar.example/daemon/peer"
 	"siskinspar.example/distribution"
+	"siskinspar.example/standin/child"
 	"siskinspar.example/standin/loopback"
 	"siskinspar.example/standin/platform"
 	"siskinspar.example/versionlog"
@@ -36,9 +38,12 @@
 	}
 }
 
+// secret authenticates the processes of this run to each other, and its operators.
+var secret = "measured-" + rand.Text()
+
 // processSettings is the settings file of a daemon: platform address, IP number of the daemon, data centre and IP number
 // of the first daemon.
-const processSettings = `
+var processSettings = `
 [instance]
 name = measured-%[2]s
 data-centre = %[3]s
@@ -47,19 +52,19 @@
 [peers]
 listen = %[2]s:7002
 seeds = %[4]s:7002
-key = measured-key
+key = ` + secret + `
 [operators]
 listen = %[2]s:7003
-token = measured-token
-backend-token = measured-token
+token = ` + secret + `
+backend-token = ` + secret + `
 [platform]
 address = %[1]s
 `
 
 // process is a daemon that runs as a process of its own and listens on its own loopback address.
 type process struct {
-	command *exec.Cmd
-	host    string
+	*child.Child
+	host string
 }
 
 // startProcesses builds the binary, starts daemons in three data centres and waits until all are ready.
@@ -80,12 +85,9 @@
 		}
 		path := filepath.Join(directory, p.host+".ini")
 		assert.NilError(b, os.WriteFile(path, fmt.Appendf(nil, processSettings, strings.TrimPrefix(store.URL, "http://"), p.host, string(rune('a'+i%3)), seed), 0o600))
-		p.command = exec.Command(binary, "daemon", "--settings", path)
-		assert.NilError(b, p.command.Start())
-		b.Cleanup(func() {
-			_ = p.command.Process.Kill()
-			_ = p.command.Wait()
-		})
+		p.Child = &child.Child{Path: binary, Arguments: []string{"daemon", "--settings", path}, Ready: "daemon: started"}
+		assert.NilError(b, p.Run())
+		b.Cleanup(p.Kill)
 		processes = append(processes, p)
 	}
 	for _, p := range processes {
@@ -115,7 +117,7 @@
 	b.Helper()
 	r, err := http.NewRequest(http.MethodGet, "http://"+p.host+":7003/metrics", nil)
 	assert.NilError(b, err)
-	r.Header.Set("Authorization", "Bearer measured-token")
+	r.Header.Set("Authorization", "Bearer "+secret)
 	response, err := http.DefaultClient.Do(r)
 	assert.NilError(b, err)
 	defer response.Body.Close()
@@ -132,7 +134,7 @@
 func (p process) processorTime(b *testing.B) float64 {
 	b.Helper()
 	const ticksPerSecond = 100
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.command.Process.Pid))
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.ID()))
 	assert.NilError(b, err)
 	fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:]))
 	user, err := strconv.ParseFloat(fields[11], 64)
@@ -145,7 +147,7 @@
 // residentBytes returns the resident memory of the daemon in bytes.
 func (p process) residentBytes(b *testing.B) float64 {
 	b.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.ID()))
 	assert.NilError(b, err)
 	for line := range strings.Lines(string(status)) {
 		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
--- a/cmd/integration/configuration_test.go
+++ b/cmd/integration/configuration_test.go
@@ -93,7 +93,7 @@
 	output, code := m.daemons[0].apply(m.writeDeclarations(withTimeout(10)))
 	assert.Equal(t, code, 0, output)
 	for _, i := range m.daemons[6:] {
-		i.kill()
+		i.Kill()
 	}
 	_, code = m.daemons[0].apply(m.writeDeclarations(withTimeout(11)))
 	// Exit code 5: the version was accepted, but is not yet in force on the killed daemons.
@@ -152,7 +152,7 @@
 		assert.Equal(t, code, 0)
 	}
 	m.setFault(platform.Fault{Mode: platform.ModeDown})
-	m.daemons[2].kill()
+	m.daemons[2].Kill()
 	m.daemons[2].restart()
 	m.awaitMembership(0)
 	assert.Equal(t, m.daemons[2].version(), declaration.Version(3))
@@ -166,19 +166,19 @@
 	assert.Equal(t, code, 0)
 	m.setFault(platform.Fault{Mode: platform.ModeDown})
 	for _, i := range m.daemons[:2] {
-		i.signal(syscall.SIGSTOP)
+		i.Signal(syscall.SIGSTOP)
 	}
-	m.daemons[2].kill()
+	m.daemons[2].Kill()
 	m.daemons[2].restart()
 	eventually(t, "the daemon has failed to reach the store", func() bool {
-		return strings.Contains(m.daemons[2].output.String(), "store is down")
+		return strings.Contains(m.daemons[2].Text(), "store is down")
 	})
 	response, _, err := m.daemons[2].do(http.MethodGet, "/status", "early", nil, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
 	assert.Equal(t, response.Header.Get("Siskinspar-Outcome"), "not-run")
 	for _, i := range m.daemons[:2] {
-		i.signal(syscall.SIGCONT)
+		i.Signal(syscall.SIGCONT)
 	}
 	m.awaitMembership(0)
 	assert.Equal(t, m.daemons[2].version(), declaration.Version(1))
@@ -190,12 +190,12 @@
 	_, code := m.daemons[0].apply(m.writeDeclarations(withTimeout(10)))
 	assert.Equal(t, code, 0)
 	frozen := m.daemons[3]
-	frozen.signal(syscall.SIGSTOP)
+	frozen.Signal(syscall.SIGSTOP)
 	others := m.daemons[:3]
 	m.awaitMembership(0, others...)
 	_, code = m.daemons[0].apply(m.writeDeclarations(withTimeout(11)))
 	assert.Equal(t, code, 0)
-	frozen.signal(syscall.SIGCONT)
+	frozen.Signal(syscall.SIGCONT)
 	eventually(t, "the resumed daemon serves", func() bool {
 		response, _, err := frozen.do(http.MethodGet, "/none", "woken", nil, nil)
 		if err != nil || response.StatusCode == http.StatusServiceUnavailable {
@@ -215,13 +215,13 @@
 	_, code := m.daemons[0].apply(m.writeDeclarations(withTimeout(10)))
 	assert.Equal(t, code, 0)
 	resumed, killed := m.daemons[0], m.daemons[1]
-	resumed.signal(syscall.SIGSTOP)
-	killed.kill()
+	resumed.Signal(syscall.SIGSTOP)
+	killed.Kill()
 	// A daemon holds calls after a pause of at least four probe periods, which are 800 ms here.
 	time.Sleep(2 * time.Second)
-	resumed.signal(syscall.SIGCONT)
+	resumed.Signal(syscall.SIGCONT)
 	m.awaitMembership(0, resumed)
-	assert.Assert(t, cmp.Contains(resumed.output.String(), "calls are held"))
+	assert.Assert(t, cmp.Contains(resumed.Text(), "calls are held"))
 }
 
 // intentSubmission returns a submission that declares one intent, based on the given version of its entry.
@@ -297,14 +297,14 @@
 	for n := range 400 {
 		fmt.Fprintf(&text, "---\nkind: intent\nname: bulk-%d\ntarget: desk\nmatch: {pathPrefix: /bulk/%d}\n", n, n)
 	}
-	m.daemons[1].signal(syscall.SIGSTOP)
+	m.daemons[1].Signal(syscall.SIGSTOP)
 	_, code := m.daemons[0].apply(m.writeDeclarations(text.String()), "--wait-limit", "1s")
 	assert.Assert(t, code == 0 || code == 5, "exit code %d", code)
-	m.daemons[0].kill()
+	m.daemons[0].Kill()
 	m.setFault(platform.Fault{Mode: platform.ModeTruncated})
-	m.daemons[1].signal(syscall.SIGCONT)
+	m.daemons[1].Signal(syscall.SIGCONT)
 	eventually(t, "the truncated object was read", func() bool {
-		output := m.daemons[1].output.String()
+		output := m.daemons[1].Text()
 		return strings.Contains(output, "version refused")
 	})
 	s, err := m.daemons[1].operatorClient().Status(context.Background())
@@ -323,22 +323,22 @@
 	ahead, stale, restarted := m.daemons[0], m.daemons[1], m.daemons[2]
 	_, code := ahead.apply(m.writeDeclarations(withTimeout(10)))
 	assert.Equal(t, code, 0)
-	stale.signal(syscall.SIGSTOP)
+	stale.Signal(syscall.SIGSTOP)
 	_, code = ahead.apply(m.writeDeclarations(withTimeout(11)), "--wait-limit", "1s")
 	assert.Assert(t, code == 0 || code == 5, "exit code %d", code)
 	m.awaitVersion(2, ahead, restarted)
 	m.setFault(platform.Fault{Mode: platform.ModeDown})
-	ahead.signal(syscall.SIGSTOP)
-	restarted.kill()
-	stale.signal(syscall.SIGCONT)
+	ahead.Signal(syscall.SIGSTOP)
+	restarted.Kill()
+	stale.Signal(syscall.SIGCONT)
 	restarted.restart()
 	eventually(t, "the daemon has asked its peers for its floor", func() bool {
-		return strings.Contains(restarted.output.String(), "floor from peers")
+		return strings.Contains(restarted.Text(), "floor from peers")
 	})
 	response, _, err := restarted.do(http.MethodGet, "/none", "early", nil, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
-	ahead.signal(syscall.SIGCONT)
+	ahead.Signal(syscall.SIGCONT)
 	m.awaitMembership(0)
 	m.awaitVersion(2, m.daemons...)
 }
--- a/cmd/integration/crash_test.go
+++ b/cmd/integration/crash_test.go
@@ -9,14 +9,15 @@
 	"gotest.tools/v3/assert"
 
 	"siskinspar.example/request/outcome"
+	"siskinspar.example/standin/child"
 )
 
 // startDaemonsWithBackends starts daemons, each with its own backend server process, and applies the standard
 // declarations.
-func startDaemonsWithBackends(t *testing.T, count int) (*mesh, []*process) {
+func startDaemonsWithBackends(t *testing.T, count int) (*mesh, []*child.Child) {
 	t.Helper()
 	m := newMesh(t)
-	var backends []*process
+	var backends []*child.Child
 	for n := range count {
 		i := m.addDaemon(fmt.Sprintf("d%d", n), string(rune('a'+n%2)), "")
 		p, _ := i.addBackend(fmt.Sprintf("desk-%d", n))
@@ -29,11 +30,11 @@
 }
 
 // countExited returns how many of the processes have exited.
-func countExited(backends []*process) int {
+func countExited(backends []*child.Child) int {
 	count := 0
 	for _, p := range backends {
 		select {
-		case <-p.ended:
+		case <-p.Done():
 			count++
 		default:
 		}
--- a/cmd/integration/harness_test.go
+++ b/cmd/integration/harness_test.go
@@ -1,8 +1,8 @@
 package integration_test
 
 import (
-	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,8 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -21,16 +19,20 @@
 
 	"siskinspar.example/daemon/operatorapi"
 	"siskinspar.example/declaration"
+	"siskinspar.example/standin/child"
 	"siskinspar.example/standin/loopback"
 )
 
 // waitTimeout bounds each wait for a condition, a command or an HTTP answer. Passing tests end their waits earlier.
 const waitTimeout = 60 * time.Second
 
-const (
-	operatorToken = "integration-operator-token"
-	backendToken  = "integration-backend-token"
-	peerKey       = "integration-peer-key"
+// The secrets differ from run to run, so that processes of two runs refuse each other.
+var (
+	operatorToken = "integration-operator-" + rand.Text()
+	backendToken  = "integration-backend-" + rand.Text()
+	peerKey       = "integration-peer-" + rand.Text()
+	// keySuffix ends all idempotency keys.
+	keySuffix = rand.Text()
 )
 
 // binary is the path of the siskinspar binary that TestMain builds.
@@ -62,60 +64,27 @@
 	return string(output), c.ProcessState.ExitCode()
 }
 
-// process is a process of the binary; ended is closed after it has exited.
-type process struct {
-	command *exec.Cmd
-	output  *safeBuffer
-	ended   chan struct{}
-}
-
-// safeBuffer collects the output of a process while tests read it.
-type safeBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (s *safeBuffer) Write(p []byte) (int, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.Write(p)
-}
-
-func (s *safeBuffer) String() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.b.String()
-}
+// The texts by which a process of the binary says that it serves.
+const (
+	daemonReady  = "daemon: started"
+	standinReady = "standin: listening"
+)
 
-// start starts the binary; when the test ends it is killed, and its output is logged if the test has failed.
-func start(t testing.TB, arguments ...string) *process {
+// start starts the binary and waits until it says that it is ready. When the test ends it is killed, and its output is
+// logged if the test has failed.
+func start(t testing.TB, ready string, arguments ...string) *child.Child {
 	t.Helper()
-	p := &process{command: exec.Command(binary, arguments...), output: &safeBuffer{}, ended: make(chan struct{})}
-	p.command.Stdout = p.output
-	p.command.Stderr = p.output
-	assert.NilError(t, p.command.Start())
-	go func() {
-		_ = p.command.Wait()
-		close(p.ended)
-	}()
+	p := &child.Child{Path: binary, Arguments: arguments, Ready: ready}
+	assert.NilError(t, p.Run())
 	t.Cleanup(func() {
-		p.signal(syscall.SIGCONT)
-		p.signal(syscall.SIGKILL)
-		<-p.ended
+		p.Kill()
 		if t.Failed() {
-			t.Logf("%v:\n%s", arguments, p.output.String())
+			t.Logf("%v:\n%s", arguments, p.Text())
 		}
 	})
 	return p
 }
 
-func (p *process) signal(s os.Signal) { _ = p.command.Process.Signal(s) }
-
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	<-p.ended
-}
-
 // mesh is a platform stand-in with daemons and backend servers, each running as a separate process.
 type mesh struct {
 	t testing.TB
@@ -124,12 +93,12 @@
 	httpClient      *http.Client
 	daemons         []*instance
 	// backends holds the backend server processes in start order.
-	backends []*process
+	backends []*child.Child
 }
 
 // instance is a daemon process with its own loopback address and settings file.
 type instance struct {
-	*process
+	*child.Child
 	mesh         *mesh
 	name         string
 	host         string
@@ -142,12 +111,12 @@
 	t.Helper()
 	m := &mesh{t: t, httpClient: &http.Client{Timeout: waitTimeout}}
 	m.platformAddress = loopback.Host() + ":7900"
-	start(t, "standin", "platform", "--listen", m.platformAddress)
+	start(t, standinReady, "standin", "platform", "--listen", m.platformAddress)
 	return m
 }
 
 // instanceTemplate is the settings file of a daemon. Its short intervals let the daemons detect failures quickly.
-const instanceTemplate = `
+var instanceTemplate = `
 [instance]
 name = %s
 data-centre = %s
@@ -200,7 +169,9 @@
 	return i
 }
 
-func (i *instance) restart() { i.process = start(i.mesh.t, "daemon", "--settings", i.settingsPath) }
+func (i *instance) restart() {
+	i.Child = start(i.mesh.t, daemonReady, "daemon", "--settings", i.settingsPath)
+}
 
 func (i *instance) callerAddress() string { return i.host + ":7001" }
 
@@ -211,12 +182,12 @@
 }
 
 // addBackend starts a backend server process that announces itself to the daemon, and returns it with its address.
-func (i *instance) addBackend(name string, extraArguments ...string) (*process, string) {
+func (i *instance) addBackend(name string, extraArguments ...string) (*child.Child, string) {
 	address := i.host + ":7010"
 	arguments := append([]string{
 		"standin", "backend", "--name", name, "--listen", address, "--daemon", i.operatorAddress(), "--token", backendToken, "--labels", "service=desk",
 	}, extraArguments...)
-	p := start(i.mesh.t, arguments...)
+	p := start(i.mesh.t, standinReady, arguments...)
 	i.mesh.backends = append(i.mesh.backends, p)
 	return p, address
 }
--- a/cmd/integration/idempotency_test.go
+++ b/cmd/integration/idempotency_test.go
@@ -19,10 +19,10 @@
 	"siskinspar.example/standin/platform"
 )
 
-// keyHeader returns a request header with the given idempotency key.
+// keyHeader returns a request header with the given idempotency key, made unlike those of other runs.
 func keyHeader(key string) http.Header {
 	h := http.Header{}
-	h.Set(outcome.HeaderKey, key)
+	h.Set(outcome.HeaderKey, key+"-"+keySuffix)
 	return h
 }
 
@@ -115,16 +115,16 @@
 
 func (f *faultInjector) killDaemon(wait func()) {
 	i := f.randomDaemon()
-	i.kill()
+	i.Kill()
 	wait()
 	i.restart()
 }
 
 func (f *faultInjector) freezeDaemon(wait func()) {
 	i := f.randomDaemon()
-	i.signal(syscall.SIGSTOP)
+	i.Signal(syscall.SIGSTOP)
 	wait()
-	i.signal(syscall.SIGCONT)
+	i.Signal(syscall.SIGCONT)
 }
 
 func (f *faultInjector) breakStore(wait func()) {
--- a/cmd/integration/path_test.go
+++ b/cmd/integration/path_test.go
@@ -15,6 +15,7 @@
 	"siskinspar.example/daemon/operatorapi"
 	"siskinspar.example/request/outcome"
 	"siskinspar.example/standin/backend"
+	"siskinspar.example/standin/child"
 	"siskinspar.example/standin/load"
 )
 
@@ -122,11 +123,11 @@
 func TestSIGTERMLetsRequestsInFlightFinish(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		pick func(near, far *instance, backendServer *process) *process
+		pick func(near, far *instance, backendServer *child.Child) *child.Child
 	}{
-		{"at the entry daemon", func(near, _ *instance, _ *process) *process { return near.process }},
-		{"at the daemon beside the backend server", func(_, far *instance, _ *process) *process { return far.process }},
-		{"at the backend server", func(_, _ *instance, backendServer *process) *process { return backendServer }},
+		{"at the entry daemon", func(near, _ *instance, _ *child.Child) *child.Child { return near.Child }},
+		{"at the daemon beside the backend server", func(_, far *instance, _ *child.Child) *child.Child { return far.Child }},
+		{"at the backend server", func(_, _ *instance, backendServer *child.Child) *child.Child { return backendServer }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			m, near, far, address := startPair(t)
@@ -143,12 +144,12 @@
 			// The daemon counts a request as running before the backend server has read it.
 			eventually(t, "the request runs", func() bool { return executions(t, address)["slow"] == 1 })
 			stopped := c.pick(near, far, backendServer)
-			stopped.signal(syscall.SIGTERM)
+			stopped.Signal(syscall.SIGTERM)
 			r := <-answered
 			assert.NilError(t, r.err)
 			assert.Assert(t, r.isWhole)
-			<-stopped.ended
-			assert.Equal(t, stopped.command.ProcessState.ExitCode(), 0)
+			<-stopped.Done()
+			assert.Equal(t, stopped.ExitCode(), 0)
 		})
 	}
 }
@@ -160,19 +161,19 @@
 		s, err := far.operatorClient().Status(context.Background())
 		return err == nil && s.BackendServers[0].Running == 1
 	})
-	far.signal(syscall.SIGTERM)
-	eventually(t, "the drain has begun", func() bool { return strings.Contains(far.output.String(), "daemon: draining") })
+	far.Signal(syscall.SIGTERM)
+	eventually(t, "the drain has begun", func() bool { return strings.Contains(far.Text(), "daemon: draining") })
 	eventually(t, "the second signal ends the daemon", func() bool {
-		far.signal(syscall.SIGTERM)
+		far.Signal(syscall.SIGTERM)
 		select {
-		case <-far.ended:
+		case <-far.Done():
 			return true
 		default:
 			return false
 		}
 	})
-	assert.Assert(t, cmp.Contains(far.output.String(), "requests-cut=1"))
-	assert.Equal(t, far.command.ProcessState.ExitCode(), 1)
+	assert.Assert(t, cmp.Contains(far.Text(), "requests-cut=1"))
+	assert.Equal(t, far.ExitCode(), 1)
 }
 
 func TestRequestsWithWrongCredentialsAreRejected(t *testing.T) {
--- a/cmd/integration/restore_test.go
+++ b/cmd/integration/restore_test.go
@@ -29,7 +29,7 @@
 func (m *mesh) restartAll() {
 	m.t.Helper()
 	for _, i := range m.daemons {
-		i.kill()
+		i.Kill()
 	}
 	for _, i := range m.daemons {
 		i.restart()
--- a/cmd/soak/export_test.go
+++ b/cmd/soak/export_test.go
@@ -24,7 +24,7 @@
 func (s *Soak) Stop() { s.stop() }
 
 // Freeze suspends a daemon with SIGSTOP.
-func (s *Soak) Freeze(index int) { s.instances[index].signal(syscall.SIGSTOP) }
+func (s *Soak) Freeze(index int) { s.instances[index].process.Signal(syscall.SIGSTOP) }
 
 // SilenceStoreConnections makes all open connections of the store silent for good.
 func (s *Soak) SilenceStoreConnections() { s.store.SilenceConnections() }
--- a/cmd/soak/fault.go
+++ b/cmd/soak/fault.go
@@ -65,8 +65,8 @@
 
 // kill kills the daemon with SIGKILL and starts it again within 2 s.
 func kill(_ context.Context, _ *Soak, i *instance, r *rand.Rand) error {
-	i.signal(syscall.SIGKILL)
-	<-i.exited
+	i.process.Signal(syscall.SIGKILL)
+	<-i.process.Done()
 	pause(r, 2*time.Second)
 	return i.start()
 }
@@ -77,12 +77,12 @@
 	for range len(s.instances) / 2 {
 		if i, ok := s.acquire(r); ok {
 			killed = append(killed, i)
-			i.signal(syscall.SIGKILL)
+			i.process.Signal(syscall.SIGKILL)
 		}
 	}
 	pause(r, time.Second)
 	for _, i := range killed {
-		<-i.exited
+		<-i.process.Done()
 		if err := i.start(); err != nil {
 			return err
 		}
@@ -122,12 +122,12 @@
 
 // restart stops the daemon with SIGTERM and starts it again; it returns an error if the daemon outlives graceTime.
 func restart(_ context.Context, _ *Soak, i *instance, _ *rand.Rand) error {
-	i.signal(syscall.SIGTERM)
+	i.process.Signal(syscall.SIGTERM)
 	select {
-	case <-i.exited:
+	case <-i.process.Done():
 	case <-time.After(graceTime):
-		i.signal(syscall.SIGKILL)
-		<-i.exited
+		i.process.Signal(syscall.SIGKILL)
+		<-i.process.Done()
 		return eris.Errorf("%s did not exit within its grace time after SIGTERM", i.name)
 	}
 	return i.start()
@@ -135,9 +135,9 @@
 
 // freeze suspends the daemon with SIGSTOP for up to 3 s.
 func freeze(_ context.Context, _ *Soak, i *instance, r *rand.Rand) error {
-	i.signal(syscall.SIGSTOP)
+	i.process.Signal(syscall.SIGSTOP)
 	pause(r, 3*time.Second)
-	i.signal(syscall.SIGCONT)
+	i.process.Signal(syscall.SIGCONT)
 	return nil
 }
 
@@ -146,7 +146,7 @@
 	if err := i.writeSettings(fmt.Sprintf("changed=%d\n", r.Int())); err != nil {
 		return err
 	}
-	i.signal(syscall.SIGHUP)
+	i.process.Signal(syscall.SIGHUP)
 	return nil
 }
 
--- a/cmd/soak/instance.go
+++ b/cmd/soak/instance.go
@@ -4,15 +4,14 @@
 	"fmt"
 	"io"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"syscall"
 
 	"github.com/Shopify/toxiproxy"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"siskinspar.example/standin/application"
+	"siskinspar.example/standin/child"
 )
 
 // The ports that every instance uses on its own loopback address. The daemon listens for clients, for other daemons,
@@ -49,8 +48,7 @@
 type instance struct {
 	name, zone, service, host string
 	directory, binary         string
-	process                   *exec.Cmd
-	exited                    chan struct{} // closed when process has exited
+	process                   *child.Child
 	isStopped                 bool
 	server                    *application.Server
 	toServer, toStore         *toxiproxy.Proxy
@@ -86,31 +84,20 @@
 	if err != nil {
 		return eris.Wrap(err, "open the log")
 	}
-	defer log.Close()
-	i.process = exec.Command(i.binary, "sidecar", "--settings", i.settingsPath())
-	i.process.Stdout = log
-	i.process.Stderr = log
-	if err := i.process.Start(); err != nil {
-		return eris.Wrapf(err, "start %s", i.name)
-	}
+	i.process = &child.Child{Path: i.binary, Arguments: []string{"sidecar", "--settings", i.settingsPath()}, Ready: "daemon: started", Output: log}
 	i.isStopped = false
-	exited := make(chan struct{})
-	i.exited = exited
+	if err := i.process.Run(); err != nil {
+		return err
+	}
 	process := i.process
 	go func() {
-		// The exit status is ignored: faults kill the process.
-		_ = process.Wait()
-		close(exited)
+		<-process.Done()
+		// The error is ignored: what is lost is the end of a log.
+		_ = log.Close()
 	}()
 	return nil
 }
 
-// signal sends a signal to the daemon process that start started.
-func (i *instance) signal(s syscall.Signal) {
-	// The process may have exited already.
-	_ = i.process.Process.Signal(s)
-}
-
 // startServer starts the next incarnation of the backend server, which breaks the connection of each n-th request that
 // it has run, where n is failEvery; 0 never does.
 func (i *instance) startServer(o application.Observer, failEvery int) error {
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -201,10 +201,10 @@
 // killAll kills all daemons at once.
 func (s *Soak) killAll() {
 	for _, i := range s.instances {
-		i.signal(syscall.SIGKILL)
+		i.process.Signal(syscall.SIGKILL)
 	}
 	for _, i := range s.instances {
-		<-i.exited
+		<-i.process.Done()
 	}
 }
 
@@ -274,13 +274,11 @@
 	return i.startServer(s.checker, 0)
 }
 
-// stop ends every process that this soak started, by its ID. A daemon that freeze suspended is continued first.
+// stop ends every process that this soak started.
 func (s *Soak) stop() {
 	for _, i := range s.instances {
-		if i.process != nil && i.process.Process != nil {
-			i.signal(syscall.SIGCONT)
-			i.signal(syscall.SIGKILL)
-			<-i.exited
+		if i.process != nil {
+			i.process.Kill()
 		}
 		if i.server != nil {
 			i.server.Crash()
--- a/standin/mesh/mesh.go
+++ b/standin/mesh/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"io"
 	"log/slog"
@@ -20,14 +21,14 @@
 	"siskinspar.example/standin/platform"
 )
 
-// The credentials that all daemons of a mesh share.
-const (
+// The credentials that all daemons of the meshes of one process share. They differ from process to process.
+var (
 	// PeerKey authenticates the daemons to each other.
-	PeerKey = "loopback-peer-key"
+	PeerKey = "loopback-peer-" + rand.Text()
 	// OperatorToken authenticates operators at the operator listener.
-	OperatorToken = "loopback-operator-token"
+	OperatorToken = "loopback-operator-" + rand.Text()
 	// BackendToken authenticates the announcements of backend servers at the operator listener.
-	BackendToken = "loopback-backend-token"
+	BackendToken = "loopback-backend-" + rand.Text()
 )
 
 // Mesh runs a platform stand-in and daemons with their backend servers. Its exported fields are set before
