test(loopback): give out a network only once no socket of its former owner is left

A process claims a network by a listener, which ends with it; what it started may still listen there. The claim now looks through the kernel's list of sockets. Before: "127.102 is claimed, though a process still listens there".

--- a/standin/loopback/loopback.go
+++ b/standin/loopback/loopback.go
@@ -1,6 +1,7 @@
 package loopback
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -34,13 +35,20 @@
 // own claims the network of this process at its first use.
 var own = sync.OnceValues(claimNetwork)
 
-// claimNetwork claims the first network that no other process has.
+// claimNetwork claims the first network that no other process has, and of whose former owner no socket is left.
 func claimNetwork() (*network, error) {
 	for octet := firstNetwork; octet <= lastNetwork; octet++ {
 		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", octet, claimPort))
-		if err == nil {
+		if err != nil {
+			continue
+		}
+		inUse, err := isInUse(octet)
+		if err == nil && !inUse {
 			return &network{octet: octet, claim: l}, nil
 		}
+		if err := errors.Join(err, l.Close()); err != nil {
+			return nil, eris.Wrapf(err, "claim the loopback network 127.%d", octet)
+		}
 	}
 	return nil, eris.New("other processes use all loopback networks")
 }
