--- a/sidecar/member/table_test.go
+++ b/sidecar/member/table_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -59,3 +60,28 @@
 		assert.Equal(t, table.PreviousLimit(now.Add(c.after), "d").RateLimit, c.limit, c.name)
 	}
 }
+
+func TestFirstReadersAreOfTheFirstDataCentreThatCanReadTheStore(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := member.NewTable()
+	centre, readers := table.FirstReaders()
+	assert.Equal(t, centre, "")
+	assert.Equal(t, len(readers), 0)
+	for _, r := range []member.Record{
+		{Address: "a1", DataCentre: "a", IsStoreDown: true},
+		{Address: "a2", DataCentre: "a", IsStopping: true},
+		{Address: "b1", DataCentre: "b"},
+		{Address: "b2", DataCentre: "b"},
+		{Address: "b3", DataCentre: "b"},
+		{Address: "c1", DataCentre: "c"},
+	} {
+		r.Incarnation = 1
+		table.Update(now, r)
+	}
+	table.Add("a0", "a")
+	table.RecordUnreachable(now, "b3")
+	centre, readers = table.FirstReaders()
+	slices.Sort(readers)
+	assert.Equal(t, centre, "b")
+	assert.DeepEqual(t, readers, []string{"b1", "b2"})
+}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -54,9 +53,7 @@
 	partLimits map[string]*rate.Limiter
 	writeCalls atomic.Int64
 	readCalls  atomic.Int64
-	// waiting holds the callers of the calls that wait for changes, guarded by waitingLock.
-	waitingLock sync.Mutex
-	waiting     []string
+	waiting    waitingCalls
 }
 
 // Counts are the numbers of calls since the start. They include calls that were refused because of a limit of the
@@ -73,28 +70,6 @@
 	return Counts{Writes: s.writeCalls.Load(), Reads: s.readCalls.Load()}
 }
 
-// WaitingCallers returns the IP address, or name, of the caller of each call that waits for changes at this moment.
-func (s *Server) WaitingCallers() []string {
-	s.waitingLock.Lock()
-	defer s.waitingLock.Unlock()
-	return slices.Clone(s.waiting)
-}
-
-// beginWait notes that a call of a caller waits for changes.
-func (s *Server) beginWait(caller string) {
-	s.waitingLock.Lock()
-	defer s.waitingLock.Unlock()
-	s.waiting = append(s.waiting, caller)
-}
-
-// endWait notes that one call of a caller waits no more.
-func (s *Server) endWait(caller string) {
-	s.waitingLock.Lock()
-	defer s.waitingLock.Unlock()
-	i := slices.Index(s.waiting, caller)
-	s.waiting = slices.Delete(s.waiting, i, i+1)
-}
-
 // Compact removes the history of changes. A feed from an earlier version then gets status 410, and its client has to
 // list the table again.
 func (s *Server) Compact() {
@@ -304,56 +279,6 @@
 	return len(tables) > maximumTables
 }
 
-// feed returns the changes of a table after a version. It waits for the first change, at most as long as the call asks,
-// and then returns an answer without rows. The connection of a call that waits during Restore is closed.
-func (s *Server) feed(r *http.Request) answer {
-	query := r.URL.Query()
-	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
-	if err != nil {
-		return answer{status: http.StatusBadRequest}
-	}
-	timer := time.NewTimer(parseWait(query.Get("waitMs")))
-	defer timer.Stop()
-	s.mu.Lock()
-	era := s.era
-	s.mu.Unlock()
-	for {
-		s.mu.Lock()
-		p, ok := s.rows.changes(query.Get("table"), after)
-		changed, present := s.rows.changed, s.era
-		s.mu.Unlock()
-		if present != era {
-			panic(http.ErrAbortHandler)
-		}
-		a := newAnswer(p)
-		if !ok {
-			a = answer{status: http.StatusGone}
-		}
-		a.era = era
-		if !ok || len(p.Rows) > 0 {
-			return a
-		}
-		if !s.awaitChange(r, changed, timer.C) {
-			return a
-		}
-	}
-}
-
-// awaitChange waits for a change, and reports false if the wait or the call ended first.
-func (s *Server) awaitChange(r *http.Request, changed <-chan struct{}, end <-chan time.Time) bool {
-	caller := callerAddress(r)
-	s.beginWait(caller)
-	defer s.endWait(caller)
-	select {
-	case <-changed:
-		return true
-	case <-end:
-		return false
-	case <-r.Context().Done():
-		return false
-	}
-}
-
 // answer is the HTTP answer to a call.
 type answer struct {
 	status      int
