refactor(sidecar): name who can read the store, and say in order who is the first relay

From reading the diff as a newcomer: one condition of six terms gets a name, the cases of the first relay stand one below the other, a log line is written outside the lock, one set-up for the tests with relays.

--- a/cmd/soak/fault.go
+++ b/cmd/soak/fault.go
@@ -65,8 +65,7 @@
 
 // kill kills the daemon with SIGKILL and starts it again within 2 s.
 func kill(_ context.Context, _ *Soak, i *instance, r *rand.Rand) error {
-	i.process.Signal(syscall.SIGKILL)
-	<-i.process.Done()
+	i.process.Kill()
 	pause(r, 2*time.Second)
 	return i.start()
 }
@@ -126,8 +125,7 @@
 	select {
 	case <-i.process.Done():
 	case <-time.After(graceTime):
-		i.process.Signal(syscall.SIGKILL)
-		<-i.process.Done()
+		i.process.Kill()
 		return eris.Errorf("%s did not exit within its grace time after SIGTERM", i.name)
 	}
 	return i.start()
--- a/sidecar/departure/departure.go
+++ b/sidecar/departure/departure.go
@@ -18,7 +18,7 @@
 }
 
 // New returns the departure of the backend server with an ID. All its incarnations that started at born or before, in
-// milliseconds since 1970, are gone with it. At is when it was announced.
+// milliseconds since 1970, are gone with it. At is when it was announced, by the clock of the instance.
 func New(server string, born int64, at time.Time) Departure {
 	return Departure{server: server, born: born, at: at}
 }
@@ -29,9 +29,6 @@
 // Born returns the start of the latest incarnation that has left, in milliseconds since 1970.
 func (d Departure) Born() int64 { return d.born }
 
-// At returns when the departure was announced, in whole milliseconds by the clock of the instance.
-func (d Departure) At() time.Time { return d.at }
-
 // document is the value of a row.
 type document struct {
 	Server string `json:"server"`
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -73,7 +73,7 @@
 	return s.selector.MustFollow(now, s.neighbours(), s.isStoreDown(now), now.Add(-s.freshness.Age(now)))
 }
 
-// checkAfter returns the age of the configuration from which this daemon doubts it beside a call that waits at the store.
+// checkAfter returns the age of the configuration from which this daemon checks it beside a call that waits at the store.
 func (s *Sidecar) checkAfter() time.Duration {
 	return s.selector.CheckAfter(s.Settings.ConfigurationBound, s.firstRelay(time.Now()))
 }
@@ -88,14 +88,15 @@
 // firstRelay returns the address of the first relay of the mesh, which asks the store for all: the first relay of the first
 // data centre that has a daemon which can read the store. It is empty if there is none.
 func (s *Sidecar) firstRelay(now time.Time) string {
+	own := s.Settings.DataCentre
 	centre, readers := s.members.FirstReaders()
-	if own := s.Settings.DataCentre; !s.isStoreDown(now) && (len(readers) == 0 || own <= centre) {
-		if own < centre {
-			readers = nil
-		}
-		centre, readers = own, append(readers, s.Settings.Daemons)
+	switch {
+	case s.isStoreDown(now) || len(readers) > 0 && centre < own:
+		return relay.FirstRelay(centre, readers)
+	case centre == own:
+		return relay.FirstRelay(own, append(readers, s.Settings.Daemons))
 	}
-	return relay.FirstRelay(centre, readers)
+	return relay.FirstRelay(own, []string{s.Settings.Daemons})
 }
 
 // relays returns the addresses of the relays of this data centre.
--- a/sidecar/member/table.go
+++ b/sidecar/member/table.go
@@ -108,7 +108,7 @@
 	defer t.mu.Unlock()
 	for address, e := range t.members {
 		centre := e.record.DataCentre
-		if !e.isKnown || e.record.IsStopping || e.record.IsStoreDown || !e.unreachableSince.IsZero() || len(addresses) > 0 && centre > dataCentre {
+		if !e.isReader() || len(addresses) > 0 && centre > dataCentre {
 			continue
 		}
 		if centre != dataCentre {
@@ -119,6 +119,12 @@
 	return dataCentre, addresses
 }
 
+// isReader reports whether the daemon runs and can read the store, as far as it is known.
+func (e *daemonState) isReader() bool {
+	r := e.record
+	return e.isKnown && !r.IsStopping && !r.IsStoreDown && e.unreachableSince.IsZero()
+}
+
 // Len returns the number of daemons in the table.
 func (t *Table) Len() int {
 	t.mu.Lock()
--- a/sidecar/owner/drain.go
+++ b/sidecar/owner/drain.go
@@ -57,12 +57,15 @@
 func (o *Owner) Drain(id string) bool {
 	o.mu.Lock()
 	leaving := o.server
-	if leaving.ID != id {
+	isKnown := leaving.ID == id
+	if !isKnown {
 		leaving = member.Server{ID: id, Born: time.Now().UnixMilli()}
 		o.drains.add(id, leaving.Born)
-		o.Logger.Info("owner: drain of an unknown backend server", "server", id)
 	}
 	o.mu.Unlock()
+	if !isKnown {
+		o.Logger.Info("owner: drain of an unknown backend server", "server", id)
+	}
 	isChanged := o.drain(id)
 	o.leave(leaving)
 	return isChanged
--- a/sidecar/relay/selector.go
+++ b/sidecar/relay/selector.go
@@ -92,10 +92,10 @@
 	return !s.neededAt.IsZero() && now.Sub(s.neededAt) < holdTime
 }
 
-// CheckAfter returns the age of the configuration from which this daemon, as a relay, doubts it beside a call that waits at
+// CheckAfter returns the age of the configuration from which this daemon, as a relay, checks it beside a call that waits at
 // the store for changes. Bound is the time within which all daemons have to notice what the store did not tell them; half
 // of it is left to spread a configuration. First is the address of the first relay of the mesh, which asks the store. The
-// others ask that relay a moment later, and the store themselves if it does not answer.
+// others ask that relay a moment later, and the store only if it does not answer.
 func (s *Selector) CheckAfter(bound time.Duration, first string) time.Duration {
 	age := max(minimumCheckAge, bound/2)
 	if first == s.Address {
--- a/sidecar/relay/selector_test.go
+++ b/sidecar/relay/selector_test.go
@@ -326,7 +326,7 @@
 }
 
 // It guards against relays that notice too late, once the first one is frozen, that they have heard nothing.
-func TestEachRelayDoubtsItsConfigurationEarlyEnoughToSpreadANewerOne(t *testing.T) {
+func TestEachRelayChecksItsConfigurationEarlyEnoughToSpreadANewerOne(t *testing.T) {
 	// ask and check are the time limits of the question to the first relay and of the call of the store after it.
 	const ask, check = 150 * time.Millisecond, 400 * time.Millisecond
 	for _, bound := range []time.Duration{2 * time.Second, 2500 * time.Millisecond, 4 * time.Second} {
--- a/sidecar/store_test.go
+++ b/sidecar/store_test.go
@@ -138,13 +138,13 @@
 // configurationBound is the time within which a configuration has to be in force at a daemon that can reach the store.
 const configurationBound = 2 * time.Second
 
-// newRelayedDeployment returns a deployment of 12 daemons in three data centres, of which just the relays wait at the store,
-// and their names.
-func newRelayedDeployment(t *testing.T) (d *deployment, relays []string) {
+// newRelayedDeployment returns a deployment of daemons in three data centres, of which just the relays wait at the store, and
+// their names.
+func newRelayedDeployment(t *testing.T, daemons int) (d *deployment, relays []string) {
 	t.Helper()
 	d = newDeployment(t)
 	d.configure(1, "desk")
-	for n := range 12 {
+	for n := range daemons {
 		d.addIn(fmt.Sprint("zone-", n%3), "desk")
 	}
 	for _, i := range d.instances {
@@ -178,7 +178,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			d, relays := newRelayedDeployment(t)
+			d, relays := newRelayedDeployment(t, 12)
 			stopLoad := d.startLoad(c.load)
 			defer stopLoad()
 			time.Sleep(c.phase)
@@ -200,16 +200,7 @@
 	for seed := range 2 {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			d := newDeployment(t)
-			d.configure(1, "desk")
-			for n := range 30 {
-				d.addIn(fmt.Sprint("zone-", n%3), "desk")
-			}
-			for _, i := range d.instances {
-				d.awaitVersion(i, 1)
-			}
-			time.Sleep(5 * time.Second)
-			relays := d.awaitWaitingCalls(6)
+			d, relays := newRelayedDeployment(t, 30)
 			var silenced []string
 			var served *instance
 			for _, i := range d.instances {
