--- a/review/check2/main.go
+++ b/review/check2/main.go
@@ -14,6 +14,8 @@
 var checks = map[string]check{
 	"prefix": checkPrefix,
 	"expect": checkExpect,
+	"memory": checkMemory,
+	"crash":  checkCrash,
 }
 
 func main() {
