Review: case 10, an acknowledged drain is dropped after the time of day jumped back

Tried: a server that starts again under its ID while the time of day of its machine has jumped back by 2 s, then leaves.

--- a/review/check2/main.go
+++ b/review/check2/main.go
@@ -16,6 +16,7 @@
 	"expect": checkExpect,
 	"memory": checkMemory,
 	"crash":  checkCrash,
+	"drain":  checkDrain,
 }
 
 func main() {
--- a/review/check2/server.go
+++ b/review/check2/server.go
@@ -30,6 +30,8 @@
 	crashes     func(target string) bool
 	// isQuiet leaves the runs out of the record.
 	isQuiet bool
+	// clockAhead is how far the time of day of its machine is ahead.
+	clockAhead time.Duration
 
 	machine *machine
 	service string
@@ -39,6 +41,7 @@
 	runs     []run
 	born     int64
 	sequence int
+	state    string
 	http     *http.Server
 	isUp     bool
 	stopBeat chan struct{}
@@ -54,7 +57,8 @@
 		return err
 	}
 	s.mu.Lock()
-	s.born = time.Now().UnixMilli()
+	s.born = time.Now().Add(s.clockAhead).UnixMilli()
+	s.state = "ready"
 	s.sequence = 0
 	s.isUp = true
 	s.http = &http.Server{Handler: s}
@@ -84,15 +88,7 @@
 
 func (s *server) beat(stop <-chan struct{}) {
 	for {
-		s.mu.Lock()
-		s.sequence++
-		body := map[string]any{
-			"address": s.machine.address(portServer), "born": s.born,
-			"info":   map[string]any{"service": s.service, "version": "v1", "zone": s.machine.zone, "slots": s.slots},
-			"status": map[string]any{"state": "ready", "sequence": s.sequence, "coldRemainingS": 0},
-		}
-		s.mu.Unlock()
-		_ = call(s.machine.address(portControl), "instances.heartbeat", s.id, body)
+		_ = s.announce()
 		select {
 		case <-stop:
 			return
@@ -101,11 +97,29 @@
 	}
 }
 
+// announce sends a heartbeat.
+func (s *server) announce() error {
+	s.mu.Lock()
+	s.sequence++
+	body := map[string]any{
+		"address": s.machine.address(portServer), "born": s.born,
+		"info":   map[string]any{"service": s.service, "version": "v1", "zone": s.machine.zone, "slots": s.slots},
+		"status": map[string]any{"state": s.state, "sequence": s.sequence, "coldRemainingS": 0},
+	}
+	s.mu.Unlock()
+	return call(s.machine.address(portControl), "instances.heartbeat", s.id, body)
+}
+
 // ServeHTTP runs a request.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Instance-Id", s.id)
+	s.mu.Lock()
+	if s.state == "draining" {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	s.mu.Unlock()
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
