--- a/review/check2/case_memory.go
+++ b/review/check2/case_memory.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -44,7 +45,10 @@
 	}
 	body := bytes.Repeat([]byte("notice. "), size/8)
 	var uploads sync.WaitGroup
-	for range 5 {
+	for range 10 {
+		if w.killed.Load() >= 2 {
+			break
+		}
 		for _, m := range f.machines {
 			for range 3 {
 				time.Sleep(40 * time.Millisecond)
@@ -88,6 +92,7 @@
 	fleet      *fleet
 	peaks      map[string]float64
 	ends       map[string]int
+	killed     atomic.Int32
 	stop, done chan struct{}
 }
 
@@ -107,6 +112,7 @@
 				continue
 			}
 			w.ends[m.name]++
+			w.killed.Add(1)
 			w.fleet.record.line("platform: the daemon of %s takes %.0f MB of %d and is killed", m.name, used, m.memoryMB)
 			m.kill()
 			time.Sleep(500 * time.Millisecond)
