--- a/review/check2/main.go
+++ b/review/check2/main.go
@@ -16,6 +16,7 @@
 	"memory": checkMemory,
 	"drain":  checkDrain,
 	"link":   checkLink,
+	"quota":  checkQuota,
 }
 
 func main() {
