--- a/review/check2/case_drain.go
+++ b/review/check2/case_drain.go
@@ -36,7 +36,10 @@
 	acknowledged := leaving.leave()
 	f.record.line("server %s says that it drains, acknowledged", leaving.id)
 	time.Sleep(time.Until(acknowledged.Add(drainTime + 500*time.Millisecond)))
-	for i := range 8 {
+	for i := range 40 {
+		if i%8 == 0 {
+			time.Sleep(400 * time.Millisecond)
+		}
 		go f.machines[2+i%3].send(request{id: newID(), method: http.MethodPost, host: "desk.example", target: fmt.Sprintf("/ledger/%d", i), deadlineMS: 2500, body: []byte("one reminder")})
 	}
 	time.Sleep(time.Second)
