feat(ingress): log why the connection of a client ends without an answer

Now: when the drain begins and with how many connections; bytes of a client that are read and dropped at the close; an answer that is aborted or can't be written while the client is there. No change of what clients see; tests of the package pass.

--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -64,12 +64,17 @@
 	isClosing bool
 	// isReadDone is true once the reader has returned.
 	isReadDone bool
+	// isCloseTold is true once an answer that tells the client of the close was sent; it is used by the writer, and by run
+	// after the writer has ended.
+	isCloseTold bool
+	// accepted is when the connection was accepted.
+	accepted time.Time
 }
 
 func newConn(s *Server, c net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &memory.Limiter{Reader: c}
-	return &conn{Conn: c, server: s, limit: l, reader: bufio.NewReaderSize(l, readBufferSize), queue: make(chan *exchange, maximumPipelined), ctx: ctx, cancel: cancel}
+	return &conn{Conn: c, server: s, limit: l, reader: bufio.NewReaderSize(l, readBufferSize), queue: make(chan *exchange, maximumPipelined), ctx: ctx, cancel: cancel, accepted: time.Now()}
 }
 
 // run serves the connection until it has ended.
@@ -313,5 +318,8 @@
 	}
 	// It does not matter how the client ends the connection, so errors are ignored.
 	_ = n.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, n.Conn)
+	discarded, _ := io.Copy(io.Discard, n.Conn)
+	if discarded > 0 && !n.isCloseTold {
+		n.server.Logger.Warn("ingress: bytes of a client discarded at the close", "client", n.RemoteAddr(), "bytes", discarded, "age", time.Since(n.accepted), "draining", n.server.isDraining.Load())
+	}
 }
--- a/sidecar/ingress/server.go
+++ b/sidecar/ingress/server.go
@@ -110,6 +110,7 @@
 	s.isDraining.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.Logger.Info("ingress: drain begins", "connections", len(s.conns))
 	for n := range s.conns {
 		n.stopReading()
 	}
--- a/sidecar/ingress/write.go
+++ b/sidecar/ingress/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -19,11 +20,31 @@
 			continue
 		}
 		isLast := x.isLast || n.server.isDraining.Load() && n.isLastAnswer()
-		if response.IsAborted || n.send(w, x, response, isLast) != nil {
+		if err := n.answer(w, x, response, isLast); err != nil {
 			isBroken = true
+			n.logCut(err)
 			n.abort()
 			continue
 		}
+		n.isCloseTold = isLast
+	}
+}
+
+// errAborted means that the handler ends the connection instead of an answer.
+var errAborted = errors.New("aborted by the handler")
+
+// answer sends the answer to a request, or returns errAborted if there is none.
+func (n *conn) answer(w io.Writer, x *exchange, response *Response, isLast bool) error {
+	if response.IsAborted {
+		return errAborted
+	}
+	return n.send(w, x, response, isLast)
+}
+
+// logCut logs that the connection ends without a whole answer, unless its client has disconnected.
+func (n *conn) logCut(cause error) {
+	if n.ctx.Err() == nil {
+		n.server.Logger.Warn("ingress: connection closed without a whole answer", "client", n.RemoteAddr(), "error", cause, "age", time.Since(n.accepted), "draining", n.server.isDraining.Load())
 	}
 }
 
