--- a/sidecar/ingress/stop_test.go
+++ b/sidecar/ingress/stop_test.go
@@ -1,12 +1,17 @@
 package ingress_test
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"siskinspar.example/sidecar/ingress"
 )
 
 func TestRequestsWithoutAnAnswerAtTheEndOfTheDrainAreAnsweredInOrder(t *testing.T) {
@@ -25,3 +30,49 @@
 	_, err = r.ReadByte()
 	assert.Equal(t, err, io.EOF)
 }
+
+// openConnections opens connections to a server, of which each second one has had a request and its answer.
+func openConnections(t *testing.T, h *handler, address string, count int) ([]net.Conn, []*bufio.Reader) {
+	t.Helper()
+	conns := make([]net.Conn, count)
+	readers := make([]*bufio.Reader, count)
+	for i := range count {
+		conns[i], readers[i] = dial(t, address)
+		if i%2 == 0 {
+			continue
+		}
+		_, err := io.WriteString(conns[i], get("/first"))
+		assert.NilError(t, err)
+		_, _ = read(t, readers[i])
+		<-h.started
+	}
+	return conns, readers
+}
+
+// A process with little processor time may learn of its end before it has read what its clients sent.
+func TestRequestsThatLieUnreadInTheSocketsAtTheDrainAreAnswered(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(s *ingress.Server)
+	}{
+		{"drain", func(s *ingress.Server) { s.Drain() }},
+		{"stop", func(s *ingress.Server) { go s.Stop(5 * time.Second) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, h, address := start(t)
+			conns, readers := openConnections(t, h, address, 60)
+			// With one processor the server does not run between the writes and the end.
+			defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+			for _, conn := range conns {
+				_, err := io.WriteString(conn, get("/unread"))
+				assert.NilError(t, err)
+			}
+			c.end(s)
+			for _, r := range readers {
+				response, body := read(t, r)
+				assert.Equal(t, body, "GET /unread ")
+				assert.Assert(t, response.Close)
+			}
+		})
+	}
+}
