fix(ingress): answer the requests that lie unread in the sockets at the drain

What callers saw: after a SIGTERM a whole request ended with its connection, with no answer and no refusal (LOST).

Cause: Drain ended the wait for requests by a read deadline of now. A read whose deadline has passed fails before it looks into the socket, so that a request that had arrived, and that the process had got no processor time to read, was taken for none. A connection that had not begun its first wait was closed without any look. linger then read the request and dropped it.

Change: package connection, whose reads look into the socket once more when their deadline has passed; the wait always begins with that look. It holds for the idle, header and body timeouts too.

--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/net/http/httpguts"
 
+	"siskinspar.example/sidecar/connection"
 	"siskinspar.example/sidecar/memory"
 	"siskinspar.example/sidecar/recovery"
 )
@@ -58,7 +59,7 @@
 	mu sync.Mutex
 	// isWaiting is true while the reader waits for the first byte of the next request.
 	isWaiting bool
-	// isStopped is true once no further request shall be read, except one that has begun to arrive.
+	// isStopped is true once no further request is awaited; what has arrived is still read.
 	isStopped bool
 	// isClosing is true once an answer tells the client that the connection closes.
 	isClosing bool
@@ -73,7 +74,7 @@
 
 func newConn(s *Server, c net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &memory.Limiter{Reader: c}
+	l := &memory.Limiter{Reader: connection.New(c)}
 	return &conn{Conn: c, server: s, limit: l, reader: bufio.NewReaderSize(l, readBufferSize), queue: make(chan *exchange, maximumPipelined), ctx: ctx, cancel: cancel, accepted: time.Now()}
 }
 
@@ -148,17 +149,20 @@
 func (n *conn) startWaiting(idle time.Duration) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.isClosing || n.isStopped && n.reader.Buffered() == 0 {
+	if n.isClosing {
 		return false
 	}
 	n.isWaiting = true
 	n.limit.AllowAll()
+	if n.isStopped {
+		idle = 0
+	}
 	// If the deadline can't be set, the next read fails.
 	_ = n.SetReadDeadline(time.Now().Add(idle))
 	return true
 }
 
-// stopReading ends the wait for another request. A request that has begun to arrive is still read.
+// stopReading ends the wait for another request. What has arrived until then is still read.
 func (n *conn) stopReading() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
