fix(peer): answer the calls that have arrived when the server stops

What callers saw: a daemon that stopped cut connections whose calls lay unread in the socket, calls of which a part had arrived, and calls that came while an earlier one was still running. The calling daemon had sent the call, so it did not know whether it had run: an unsafe request got 502 although the owner would have refused it as not run.

Cause: Stop set a read deadline of now on all connections. A read whose deadline has passed fails before it looks into the socket, and a deadline in the midst of a message drops what was read of it. Closing a connection with unread bytes also resets it.

Change: a connection counts its open calls, from the first byte to the end of the write of the reply. So each call that has reached the instance is read and answered; after Refuse the owner answers that it has not run. The limit of Stop still closes what is left, also beside a daemon that calls without end.

A call that is still on its way when the connection closes is cut as before.

--- a/sidecar/peer/codec.go
+++ b/sidecar/peer/codec.go
@@ -58,17 +58,29 @@
 // Close implements rpc.ClientCodec.
 func (c clientCodec) Close() error { return c.close() }
 
-// serverCodec implements rpc.ServerCodec.
-type serverCodec struct{ *stream }
+// serverCodec implements rpc.ServerCodec. It tells the connection which calls are open.
+type serverCodec struct {
+	*stream
+	conn *servedConn
+}
 
 // ReadRequestHeader implements rpc.ServerCodec.
-func (c serverCodec) ReadRequestHeader(r *rpc.Request) error { return c.readHeader(r) }
+func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	if _, err := c.reader.Peek(1); err != nil {
+		return err
+	}
+	c.conn.begin()
+	return c.readHeader(r)
+}
 
 // ReadRequestBody implements rpc.ServerCodec.
 func (c serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
 
 // WriteResponse implements rpc.ServerCodec.
-func (c serverCodec) WriteResponse(r *rpc.Response, body any) error { return c.write(r, body) }
+func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	defer c.conn.end()
+	return c.write(r, body)
+}
 
 // Close implements rpc.ServerCodec.
 func (c serverCodec) Close() error { return c.close() }
--- a/sidecar/peer/server.go
+++ b/sidecar/peer/server.go
@@ -32,7 +32,7 @@
 	listener *listener.Listener
 	server   *rpc.Server
 	mu       sync.Mutex
-	conns    map[net.Conn]bool
+	conns    map[*servedConn]bool
 	// group counts the open connections.
 	group sync.WaitGroup
 }
@@ -43,23 +43,24 @@
 	if err := s.server.RegisterName(ServiceName, s.Service); err != nil {
 		return eris.Wrap(err, "register the calls of other daemons")
 	}
-	s.conns = map[net.Conn]bool{}
+	s.conns = map[*servedConn]bool{}
 	s.listener = &listener.Listener{Name: "daemons", Address: s.Address, Serve: s.serve, Logger: s.Logger}
 	return s.listener.Run()
 }
 
-func (s *Server) serve(c net.Conn) {
+func (s *Server) serve(accepted net.Conn) {
+	c := newServedConn(accepted)
 	s.track(c, true)
 	s.group.Add(1)
 	go func() {
 		defer s.group.Done()
 		defer s.track(c, false)
-		s.server.ServeCodec(serverCodec{newStream(newPacedConn(c, s.Pacer), s.Memory)})
+		s.server.ServeCodec(serverCodec{stream: newStream(newPacedConn(c, s.Pacer), s.Memory), conn: c})
 	}()
 }
 
 // track records an open connection for Stop, or removes one that has ended.
-func (s *Server) track(c net.Conn, isOpen bool) {
+func (s *Server) track(c *servedConn, isOpen bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if isOpen {
@@ -69,12 +70,12 @@
 	delete(s.conns, c)
 }
 
-// Stop closes the listener, reads no further call, and waits for up to limit until the calls that were read have their
-// replies. Then it closes all connections; calls still in progress fail at the other daemon.
+// Stop closes the listener, and waits for up to limit until all calls that have arrived have their replies and no
+// connection has another. Then it closes all connections; calls still in progress fail at the other daemon.
 func (s *Server) Stop(limit time.Duration) {
 	s.listener.Stop()
 	// net/rpc closes a connection that can't be read any more once all replies are written.
-	s.forEachConn(func(c net.Conn) error { return c.SetReadDeadline(time.Now()) })
+	s.forEachConn((*servedConn).stop)
 	ended := make(chan struct{})
 	go func() {
 		s.group.Wait()
@@ -85,16 +86,16 @@
 	case <-time.After(limit):
 		s.Logger.Warn("daemons: calls without a reply are cut at the end of the drain")
 	}
-	s.forEachConn(net.Conn.Close)
+	// The other side may have closed the connection first.
+	s.forEachConn(func(c *servedConn) { _ = c.Close() })
 }
 
-// forEachConn calls a method of each open connection. Its error is ignored, since the other side may have closed the
-// connection.
-func (s *Server) forEachConn(call func(net.Conn) error) {
+// forEachConn calls a function with each open connection.
+func (s *Server) forEachConn(call func(*servedConn)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		_ = call(c)
+		call(c)
 	}
 }
 
