fix(upstream): return the answer that has arrived when the timeout passes

What callers saw: a request that the backend server had answered in time got 504, or 502 for a failed write, in place of its answer, also one that must not run again. This needs a daemon that got no processor time between the arrival of the answer and the timeout, or an answer that became ready in the same moment.

Cause: the wait took the timeout, the end of the context or a failed write as the end although the answer lay in the socket, was being read, or was ready beside it; select picks one of the cases that are ready at random.

Change: at the timeout and after a failed write the reads get a deadline of now. With sidecar/connection they go on until the socket is empty, so that a whole answer that has arrived is returned, and the reading goroutine then ends at once. At the end of the context, which means that nobody waits any more, only an answer that is ready goes first.

It adds no wait: the reading is bounded by the size of an answer, which TestServersThatSendWithoutEndDontExhaustTheMemory checks for all kinds of servers that never pause. A part of an answer stays none.

--- a/sidecar/upstream/client.go
+++ b/sidecar/upstream/client.go
@@ -141,7 +141,7 @@
 		select {
 		case err := <-written:
 			if err != nil {
-				return n.lastAnswer(err)
+				return n.arrivedAnswer(err)
 			}
 			isWritten = true
 			written = nil
@@ -151,13 +151,31 @@
 		case <-n.broken:
 			return n.lastAnswer(eris.New("the connection ended"))
 		case <-expired:
-			return answer{}, context.DeadlineExceeded
+			return n.arrivedAnswer(context.DeadlineExceeded)
 		case <-ctx.Done():
-			return answer{}, ctx.Err()
+			return n.wholeAnswer(ctx.Err())
 		}
 	}
 }
 
+// arrivedAnswer returns the answer if all of it has arrived, whether it is read yet or not, and otherwise the error. The
+// connection is not used again.
+func (n *conn) arrivedAnswer(err error) (answer, error) {
+	// Ends the reading once nothing more lies in the socket. If the deadline can't be set, the connection has ended.
+	_ = n.SetReadDeadline(time.Now())
+	<-n.broken
+	return n.wholeAnswer(err)
+}
+
+// wholeAnswer returns the answer that was read, or the error if there is none or reading it failed.
+func (n *conn) wholeAnswer(err error) (answer, error) {
+	a, missing := n.lastAnswer(err)
+	if a.err != nil {
+		return answer{}, err
+	}
+	return a, missing
+}
+
 // isWriteComplete reports whether a write succeeds within writeGrace. The write may return after the answer is read.
 func isWriteComplete(written <-chan error) bool {
 	timer := time.NewTimer(writeGrace)
--- a/sidecar/upstream/conn.go
+++ b/sidecar/upstream/conn.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"siskinspar.example/sidecar/connection"
 	"siskinspar.example/sidecar/memory"
 	"siskinspar.example/sidecar/message"
 )
@@ -68,9 +69,10 @@
 }
 
 func newConn(c net.Conn, owner *Client) *conn {
-	l := &memory.Limiter{Reader: c}
+	wrapped := connection.New(c)
+	l := &memory.Limiter{Reader: wrapped}
 	n := &conn{
-		Conn: c, client: owner, limit: l, reader: bufio.NewReaderSize(l, readBufferSize), answers: make(chan answer, 1),
+		Conn: wrapped, client: owner, limit: l, reader: bufio.NewReaderSize(l, readBufferSize), answers: make(chan answer, 1),
 		expected: make(chan exchange, 1), broken: make(chan struct{}),
 	}
 	go n.read()
