fix(peer): return the reply that has arrived when the deadline of a call passes

What callers saw: a request whose owner had replied in time got 504 or 502 in place of the answer, also one that must not run again, and a daemon that had replied to a probe counted as unreachable, with its connection closed under all other calls. This needs a calling daemon that got no processor time between the arrival of the reply and the deadline, or a reply that became ready in the same moment.

Cause: Call took the end of its context as the end although the reply lay in the socket, which one goroutine reads for all calls of a connection, or was ready beside it; select picks one of the cases that are ready at random.

Change: at its deadline a call asks the reading goroutine to read what has arrived and waits until it has found the socket empty, for which the read deadline is set to now and taken back. The replies that were read are ready by then. The connection and its other calls are not affected. The wait is limited to 100 ms, for a daemon that sends without a pause. A cancelled call, for which nobody waits, does not look.

A probe that this process had no time to send still counts against the other daemon: it can't be told from one that waits behind a write to a daemon that doesn't read.

--- a/sidecar/peer/connection.go
+++ b/sidecar/peer/connection.go
@@ -22,6 +22,9 @@
 	userTimeout = 1500 * time.Millisecond
 	// redialDelay is the time after a failed dial in which calls fail at once instead of dialling again.
 	redialDelay = 200 * time.Millisecond
+	// drainTimeout limits how long a call reads what has arrived once its context has ended: the other daemon may go on
+	// sending the replies to other calls.
+	drainTimeout = 100 * time.Millisecond
 )
 
 // ErrNotSent is wrapped by Connection.Call if no byte of the call was sent: no connection was available, or the
@@ -39,7 +42,7 @@
 
 	mu sync.Mutex
 	// client is nil while no connection is open.
-	client *rpc.Client
+	client *client
 	// dialing is closed when the dial in progress ends; it is nil if there is none.
 	dialing chan struct{}
 	// failedAt is when the last dial failed.
@@ -50,8 +53,14 @@
 	pending int
 }
 
-// Call sends a call and waits for its reply until the context ends. After an error the reply must not be read, since a
-// late reply may still be written to it. An error other than the end of the context also closes the connection, unless
+// client calls a daemon over an open connection.
+type client struct {
+	*rpc.Client
+	conn *clientConn
+}
+
+// Call sends a call and waits for its reply until the context ends. A reply that has arrived before its deadline is
+// returned. After an error the reply must not be read, since a late reply may still be written to it. An error other than the end of the context also closes the connection, unless
 // the call was not sent, which is reported as ErrNotSent.
 func (c *Connection) Call(ctx context.Context, method string, arguments, reply any) error {
 	client, err := c.connect(ctx)
@@ -71,12 +80,36 @@
 		if o.cancel() {
 			return eris.Wrapf(ErrNotSent, "call %s at %s: %v", method, c.Address, ctx.Err())
 		}
+		if call := client.arrivedReply(ctx, done); call != nil {
+			return c.handleResult(client, o, call.Error, method)
+		}
 		return eris.Wrapf(ctx.Err(), "call %s at %s", method, c.Address)
 	}
 }
 
+// arrivedReply returns the call if its reply is ready or has arrived by the deadline of the context, whether it is read
+// yet or not, and otherwise nil. After a cancellation nobody waits for the reply.
+func (c *client) arrivedReply(ctx context.Context, done <-chan *rpc.Call) *rpc.Call {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		timer := time.NewTimer(drainTimeout)
+		defer timer.Stop()
+		select {
+		case call := <-done:
+			return call
+		case <-c.conn.drained():
+		case <-timer.C:
+		}
+	}
+	select {
+	case call := <-done:
+		return call
+	default:
+		return nil
+	}
+}
+
 // handleResult closes the connection after a failed call, and returns the error of the call.
-func (c *Connection) handleResult(client *rpc.Client, o *outgoing, err error, method string) error {
+func (c *Connection) handleResult(client *client, o *outgoing, err error, method string) error {
 	if err == nil {
 		return nil
 	}
@@ -118,7 +151,7 @@
 }
 
 // drop closes a client, unless the connection has already dropped it.
-func (c *Connection) drop(client *rpc.Client) {
+func (c *Connection) drop(client *client) {
 	c.mu.Lock()
 	isCurrent := c.client == client
 	if isCurrent {
@@ -133,7 +166,7 @@
 }
 
 // connect returns the client of the open connection, or dials. Concurrent calls wait for the same dial.
-func (c *Connection) connect(ctx context.Context) (*rpc.Client, error) {
+func (c *Connection) connect(ctx context.Context) (*client, error) {
 	for {
 		c.mu.Lock()
 		if c.client != nil {
@@ -168,7 +201,8 @@
 	if err != nil {
 		c.failedAt = time.Now()
 	} else {
-		c.client = rpc.NewClientWithCodec(clientCodec{newStream(newPacedConn(conn, c.Pacer), c.Memory)})
+		n := newClientConn(conn)
+		c.client = &client{Client: rpc.NewClientWithCodec(clientCodec{newStream(newPacedConn(n, c.Pacer), c.Memory)}), conn: n}
 	}
 	c.mu.Unlock()
 	close(done)
