fix(owner): refuse a call whose deadline has passed instead of sending it

What callers saw: 504 for a request that need not have been sent. The backend server got it with no time left, and the client of an unsafe request could not retry it, since it may have run.

Cause: the entry daemon checks the deadline before it selects a backend server. If it gets no processor time between this check and the call, the time that is left is zero or less; the owner sent the request all the same, and its wait for the answer ended at once.

Change: a call with no time left is refused as not run, as are a reservation and a call with a granted slot, whose slot is freed.

--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -75,6 +75,8 @@
 // lock.
 func (o *Owner) refusalReason(now time.Time, q message.Job) string {
 	switch {
+	case q.Deadline <= 0:
+		return ReasonDeadlinePassed
 	case o.withdrawals.has(callKey{q.Entry, q.Number}):
 		return ReasonWithdrawn
 	case o.server.ID != q.Server || o.server.State == member.Absent:
--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -41,7 +41,7 @@
 	ReasonWithdrawn = "withdrawn by the entry daemon"
 	// ReasonConnectionEnded means that the connection ended before a whole answer; the error is appended.
 	ReasonConnectionEnded = "the connection to the backend server ended"
-	// ReasonDeadlinePassed means that the deadline passed before a whole answer.
+	// ReasonDeadlinePassed means that the deadline passed before a whole answer, or before anything was sent.
 	ReasonDeadlinePassed = "deadline passed"
 )
 
--- a/sidecar/owner/stop_test.go
+++ b/sidecar/owner/stop_test.go
@@ -8,6 +8,7 @@
 
 	"siskinspar.example/sidecar/member"
 	"siskinspar.example/sidecar/message"
+	"siskinspar.example/sidecar/owner"
 	"siskinspar.example/sidecar/route"
 )
 
@@ -32,3 +33,21 @@
 		})
 	}
 }
+
+// A process with little processor time may pass a request on after its deadline. It is refused as not run, since an unsafe
+// one that was sent would have to get 504, and its client could not retry it.
+func TestACallWhoseDeadlineHasPassedIsNotSent(t *testing.T) {
+	s := newServer(t)
+	o := newOwner(t)
+	o.Announce(announcement(s, "a", 10, 5, member.Ready))
+	granted := call("granted", "/", "a", route.Unrepeatable, 1)
+	granted.Ticket = o.Reserve(granted.Job).Ticket
+	for _, c := range []message.Call{granted, call("direct", "/", "a", route.Unrepeatable, 2)} {
+		c.Job.Deadline = 0
+		reply := o.Call(c)
+		assert.Equal(t, reply.Outcome, message.NotRun)
+		assert.Equal(t, reply.Reason, owner.ReasonDeadlinePassed)
+		assert.Equal(t, reply.Load.Running, 0, "the slot is free again")
+	}
+	assert.Equal(t, s.runs.Load(), int32(0))
+}
