fix(sidecar): return the answer that has arrived at the deadline of a local call

What callers saw: a request that the backend server beside the daemon had answered in time got 504 in place of the answer, also one that must not run again, if the daemon got no processor time between the arrival and the deadline.

Cause: the entry gave the call up at its own deadline, 40 ms after that of the owner. Both are noticed at the same time after a pause of the process, and the entry was first: the owner still had to read the answer.

Change: at its deadline the entry waits for the owner in the same process, which ends a call by its own, earlier deadline and looks for an answer that has arrived. So that this is bounded, the deadline of a call now also ends the set-up of the connection to the backend server, after which the timeout of the send started anew. A call whose client has gone is still given up at once.

--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -59,14 +59,7 @@
 // Call implements entry.Owners.
 func (o *owners) Call(ctx context.Context, address string, c *message.Call) (message.Reply, bool, error) {
 	if address == o.address {
-		result := make(chan message.Reply, 1)
-		go func() { result <- o.local.Call(*c) }()
-		select {
-		case r := <-result:
-			return r, true, nil
-		case <-ctx.Done():
-			return message.Reply{}, true, ctx.Err()
-		}
+		return o.callLocal(ctx, c)
 	}
 	reply := new(message.Reply)
 	err := o.pool.Connection(address, trafficClass(c.Job.Kind)).Call(ctx, peer.ServiceName+".Call", c, reply)
@@ -76,6 +69,22 @@
 	return *reply, true, nil
 }
 
+// callLocal is Call for the owner of this daemon.
+func (o *owners) callLocal(ctx context.Context, c *message.Call) (message.Reply, bool, error) {
+	result := make(chan message.Reply, 1)
+	go func() { result <- o.local.Call(*c) }()
+	select {
+	case r := <-result:
+		return r, true, nil
+	case <-ctx.Done():
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		// The owner ends the call at its deadline, which is earlier, and may have an answer that has arrived.
+		return <-result, true, nil
+	}
+	return message.Reply{}, true, ctx.Err()
+}
+
 // Resume implements entry.Owners.
 func (o *owners) Resume(ctx context.Context, address string, kind route.Kind, r message.Resumption) (message.Reply, bool, error) {
 	connection := o.pool.Connection(address, trafficClass(kind))
--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -90,10 +90,11 @@
 }
 
 // Call runs a request in the slot that was granted to it, or in a free one, and returns the whole answer or why there
-// is none.
+// is none. It returns at the deadline of the request at the latest, with an answer that has arrived by then.
 func (o *Owner) Call(c message.Call) message.Reply {
 	arrived := time.Now()
-	ctx, cancel := context.WithCancel(context.Background())
+	// The timeout of the send starts only once a connection is open.
+	ctx, cancel := context.WithDeadline(context.Background(), arrived.Add(c.Job.Deadline))
 	defer cancel()
 	tc, client, reason := o.acquireSlot(arrived, c, cancel)
 	if reason != "" {
--- a/sidecar/upstream/client.go
+++ b/sidecar/upstream/client.go
@@ -153,6 +153,9 @@
 		case <-expired:
 			return n.arrivedAnswer(context.DeadlineExceeded)
 		case <-ctx.Done():
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				return n.arrivedAnswer(ctx.Err())
+			}
 			return n.wholeAnswer(ctx.Err())
 		}
 	}
