fix(ingress): count the idle timeout of a connection from its last answer

What callers saw: a connection whose request took longer than the idle timeout was closed after its answer, which said nothing of a close; the next request on it ended with the connection (LOST). In the same state a client that left was not noticed, and its request ran on (GONE).

Cause: the idle timeout began when the reader began to wait, beside the request being served, and its end ended the reader.

Change: while a request is unanswered the wait has no deadline, so that the end of the connection is noticed; the idle time begins with the last answer.

Evidence: TestAConnectionMayIdleAfterAnAnswerThatTookLongerThanTheIdleTimeout and TestADisconnectAfterTheIdleTimeoutCancelsTheRequest failed 3 of 3 on the old logic, the latter after 10 s; both pass 5 of 5.

--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -57,10 +57,13 @@
 	cancel context.CancelFunc
 
 	mu sync.Mutex
-	// isWaiting is true while the reader waits for the first byte of the next request.
+	// isWaiting is true while the reader waits for the first byte of the next request, for up to idle if none is unanswered.
 	isWaiting bool
-	// isStopped is true once no further request is awaited; what has arrived is still read.
-	isStopped bool
+	idle      time.Duration
+	// unanswered is the number of requests that were read and have no answer yet.
+	unanswered int
+	// usedAt is when the last answer was sent, or when the connection was accepted.
+	usedAt time.Time
 	// isClosing is true once an answer tells the client that the connection closes.
 	isClosing bool
 	// isReadDone is true once the reader has returned.
@@ -75,7 +78,8 @@
 func newConn(s *Server, c net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &memory.Limiter{Reader: connection.New(c)}
-	return &conn{Conn: c, server: s, limit: l, reader: bufio.NewReaderSize(l, readBufferSize), queue: make(chan *exchange, maximumPipelined), ctx: ctx, cancel: cancel, accepted: time.Now()}
+	now := time.Now()
+	return &conn{Conn: c, server: s, limit: l, reader: bufio.NewReaderSize(l, readBufferSize), queue: make(chan *exchange, maximumPipelined), ctx: ctx, cancel: cancel, usedAt: now, accepted: now}
 }
 
 // run serves the connection until it has ended.
@@ -106,6 +110,9 @@
 		if x == nil {
 			return
 		}
+		n.mu.Lock()
+		n.unanswered++
+		n.mu.Unlock()
 		n.queue <- x
 		if x.request != nil {
 			go func() { x.response <- n.serve(x.request) }()
@@ -125,8 +132,9 @@
 	return n.server.Handler.Serve(n.ctx, r)
 }
 
-// awaitRequest waits up to idle for the first byte of a request, and reports whether to read the request. If the
-// connection ends meanwhile, the requests that are being served are cancelled.
+// awaitRequest waits for the first byte of a request, and reports whether to read the request. The wait ends when the
+// connection was unused for idle, or once the server drains; what has arrived until then is read. If the client
+// disconnects meanwhile, the requests that are being served are cancelled.
 func (n *conn) awaitRequest(idle time.Duration) bool {
 	if !n.startWaiting(idle) {
 		return false
@@ -153,24 +161,36 @@
 		return false
 	}
 	n.isWaiting = true
+	n.idle = idle
 	n.limit.AllowAll()
-	if n.isStopped {
-		idle = 0
+	n.limitWait()
+	return true
+}
+
+// limitWait sets the deadline of the wait for a request, if there is one. The caller holds mu.
+func (n *conn) limitWait() {
+	var deadline time.Time
+	switch {
+	case !n.isWaiting:
+		return
+	case n.isClosing:
+		deadline = time.Now()
+	case n.unanswered > 0:
+		// The end of the connection has to be noticed while a request is served.
+	case n.server.isDraining.Load():
+		deadline = time.Now()
+	default:
+		deadline = n.usedAt.Add(n.idle)
 	}
 	// If the deadline can't be set, the next read fails.
-	_ = n.SetReadDeadline(time.Now().Add(idle))
-	return true
+	_ = n.SetReadDeadline(deadline)
 }
 
-// stopReading ends the wait for another request. What has arrived until then is still read.
-func (n *conn) stopReading() {
+// hurry applies the drain to a connection that waits for a request.
+func (n *conn) hurry() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.isStopped = true
-	if n.isWaiting {
-		// If the deadline can't be set, the next read fails.
-		_ = n.SetReadDeadline(time.Now())
-	}
+	n.limitWait()
 }
 
 // readRequest reads one request and reports whether another may follow it. It returns nil if the connection ended
--- a/sidecar/ingress/server.go
+++ b/sidecar/ingress/server.go
@@ -112,7 +112,7 @@
 	defer s.mu.Unlock()
 	s.Logger.Info("ingress: drain begins", "connections", len(s.conns))
 	for n := range s.conns {
-		n.stopReading()
+		n.hurry()
 	}
 }
 
--- a/sidecar/ingress/server_test.go
+++ b/sidecar/ingress/server_test.go
@@ -57,18 +57,29 @@
 // start runs a server and returns it with its handler and its address.
 func start(t *testing.T) (*ingress.Server, *handler, string) {
 	t.Helper()
-	return startWithMemory(t, nil)
+	return startWith(t, 5*time.Second, nil)
 }
 
 // startWithMemory does the same as start with a budget for the bodies of requests.
 func startWithMemory(t *testing.T, m *memory.Budget) (*ingress.Server, *handler, string) {
+	t.Helper()
+	return startWith(t, 5*time.Second, m)
+}
+
+// startWithIdleTimeout does the same as start with an idle timeout.
+func startWithIdleTimeout(t *testing.T, idle time.Duration) (*ingress.Server, *handler, string) {
+	t.Helper()
+	return startWith(t, idle, nil)
+}
+
+func startWith(t *testing.T, idle time.Duration, m *memory.Budget) (*ingress.Server, *handler, string) {
 	t.Helper()
 	address := loopback.Address()
 	h := &handler{release: make(chan struct{}), started: make(chan string, 64), disconnected: make(chan struct{}), refused: make(chan int, 64)}
 	s := &ingress.Server{
 		Address: address, Handler: h, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Memory: m,
 		Limits: func() ingress.Limits {
-			return ingress.Limits{HeaderBytes: 2000, BodyBytes: 100, HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second}
+			return ingress.Limits{HeaderBytes: 2000, BodyBytes: 100, HeaderTimeout: 5 * time.Second, IdleTimeout: idle}
 		},
 	}
 	assert.NilError(t, s.Run())
--- a/sidecar/ingress/stop_test.go
+++ b/sidecar/ingress/stop_test.go
@@ -76,3 +76,34 @@
 		})
 	}
 }
+
+func TestAConnectionMayIdleAfterAnAnswerThatTookLongerThanTheIdleTimeout(t *testing.T) {
+	_, h, address := startWithIdleTimeout(t, 300*time.Millisecond)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, get("/wait"))
+	assert.NilError(t, err)
+	<-h.started
+	time.Sleep(600 * time.Millisecond)
+	close(h.release)
+	_, _ = read(t, r)
+	time.Sleep(50 * time.Millisecond)
+	_, err = io.WriteString(c, get("/next"))
+	assert.NilError(t, err)
+	_, body := read(t, r)
+	assert.Equal(t, body, "GET /next ")
+}
+
+func TestADisconnectAfterTheIdleTimeoutCancelsTheRequest(t *testing.T) {
+	_, h, address := startWithIdleTimeout(t, 100*time.Millisecond)
+	c, _ := dial(t, address)
+	_, err := io.WriteString(c, get("/wait"))
+	assert.NilError(t, err)
+	<-h.started
+	time.Sleep(300 * time.Millisecond)
+	assert.NilError(t, c.Close())
+	select {
+	case <-h.disconnected:
+	case <-time.After(10 * time.Second):
+		t.Fatal("request not cancelled")
+	}
+}
--- a/sidecar/ingress/write.go
+++ b/sidecar/ingress/write.go
@@ -27,9 +27,19 @@
 			continue
 		}
 		n.isCloseTold = isLast
+		n.recordAnswered()
 	}
 }
 
+// recordAnswered records that an answer was sent; the wait for the next request may begin with it.
+func (n *conn) recordAnswered() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.unanswered--
+	n.usedAt = time.Now()
+	n.limitWait()
+}
+
 // errAborted means that the handler ends the connection instead of an answer.
 var errAborted = errors.New("aborted by the handler")
 
@@ -63,16 +73,16 @@
 	}
 }
 
-// isLastAnswer ends the wait for further requests. It reports whether the connection closes after the current answer
-// because no other request is queued or has begun to arrive; a request that arrives later is not read.
+// isLastAnswer reports whether the connection closes after the current answer because no other request is queued or has
+// begun to be read; a request that is read later gets no answer.
 func (n *conn) isLastAnswer() bool {
-	n.stopReading()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if len(n.queue) > 0 || !n.isWaiting && !n.isReadDone {
 		return false
 	}
 	n.isClosing = true
+	n.limitWait()
 	return true
 }
 
