fix(ingress): keep unused connections open through the notice time of a drain

What callers saw: a request that was on its way when the daemon got its SIGTERM, or sent on a connection opened just before, met a closed connection; the daemon read it in linger and dropped it, so that the client could not take it for unread either (LOST).

Cause: Drain closed all unused connections at once, though new ones were still served for the notice time, and linger read on where no answer could follow.

Change: Drain closes nothing; the next answer of each connection says that it closes. Stop, after the notice time, closes a connection once it was unused for lingerTimeout, after a last look into its socket. linger discards bytes only after an answer that told of the close (they then count as not read); otherwise they stay unread and the client gets a reset.

--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -26,7 +26,8 @@
 	// maximumPipelined limits the requests of one connection that wait for their answers, and are thus served
 	// concurrently.
 	maximumPipelined = 32
-	// lingerTimeout is how long to wait, after the last answer, until the client closes its side of the connection.
+	// lingerTimeout is how long to wait, after the last answer, until the client closes its side of the connection. A
+	// connection has to be unused for as long to be closed by a server that stops.
 	lingerTimeout = 500 * time.Millisecond
 	// writeTimeout limits the time that a client takes to receive one answer.
 	writeTimeout = 30 * time.Second
@@ -133,8 +134,8 @@
 }
 
 // awaitRequest waits for the first byte of a request, and reports whether to read the request. The wait ends when the
-// connection was unused for idle, or once the server drains; what has arrived until then is read. If the client
-// disconnects meanwhile, the requests that are being served are cancelled.
+// connection was unused for idle or, once the server stops, for lingerTimeout; what has arrived until then is read. If
+// the client disconnects meanwhile, the requests that are being served are cancelled.
 func (n *conn) awaitRequest(idle time.Duration) bool {
 	if !n.startWaiting(idle) {
 		return false
@@ -177,8 +178,8 @@
 		deadline = time.Now()
 	case n.unanswered > 0:
 		// The end of the connection has to be noticed while a request is served.
-	case n.server.isDraining.Load():
-		deadline = time.Now()
+	case n.server.isStopping.Load():
+		deadline = n.usedAt.Add(lingerTimeout)
 	default:
 		deadline = n.usedAt.Add(n.idle)
 	}
@@ -186,7 +187,7 @@
 	_ = n.SetReadDeadline(deadline)
 }
 
-// hurry applies the drain to a connection that waits for a request.
+// hurry applies the stop of the server to a connection that waits for a request.
 func (n *conn) hurry() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -332,18 +333,16 @@
 	}()
 }
 
-// linger closes the connection once the client has closed its side or lingerTimeout has passed. Closing it with unread
-// bytes would reset it, and the last answer could be lost.
+// linger closes the connection. After an answer that told the client of the close, it waits until the client has closed
+// its side or lingerTimeout has passed: closing it with unread bytes would reset it, and that answer could be lost. On
+// another connection nothing more is read, so that the client learns by the reset that a request was not.
 func (n *conn) linger() {
 	defer n.Close()
 	t, ok := n.Conn.(*net.TCPConn)
-	if !ok || n.ctx.Err() != nil || t.CloseWrite() != nil {
+	if !ok || !n.isCloseTold || n.ctx.Err() != nil || t.CloseWrite() != nil {
 		return
 	}
 	// It does not matter how the client ends the connection, so errors are ignored.
 	_ = n.SetReadDeadline(time.Now().Add(lingerTimeout))
-	discarded, _ := io.Copy(io.Discard, n.Conn)
-	if discarded > 0 && !n.isCloseTold {
-		n.server.Logger.Warn("ingress: bytes of a client discarded at the close", "client", n.RemoteAddr(), "bytes", discarded, "age", time.Since(n.accepted), "draining", n.server.isDraining.Load())
-	}
+	_, _ = io.Copy(io.Discard, n.Conn)
 }
--- a/sidecar/ingress/server.go
+++ b/sidecar/ingress/server.go
@@ -72,6 +72,8 @@
 	listener *listener.Listener
 	// isDraining is true once Drain was called: each answer then tells the client that the connection closes.
 	isDraining atomic.Bool
+	// isStopping is true once Stop was called: unused connections are then closed.
+	isStopping atomic.Bool
 	// ended is closed at the end of the drain; the requests without an answer are then abandoned.
 	ended chan struct{}
 	mu    sync.Mutex
@@ -104,23 +106,22 @@
 	}()
 }
 
-// Drain closes the unused connections, and has each other connection closed after the answer to the last request read
-// on it. New connections are still accepted, for one request each.
+// Drain makes each connection close after its next answer, which tells the client so. Connections that wait for a request
+// stay open, since one may be on its way, and new ones are still accepted.
 func (s *Server) Drain() {
-	s.isDraining.Store(true)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.Logger.Info("ingress: drain begins", "connections", len(s.conns))
-	for n := range s.conns {
-		n.hurry()
+	if !s.isDraining.Swap(true) {
+		s.Logger.Info("ingress: drain begins", "connections", s.count())
 	}
 }
 
-// Stop drains the connections, closes the listener and waits for up to limit until all connections have ended. It then
-// abandons the requests that have no answer, and waits for up to abandonTime until these answers are sent.
+// Stop drains the connections, closes the listener and the unused connections, and waits for up to limit until all
+// connections have ended. It then abandons the requests that have no answer, and waits for up to abandonTime until these
+// answers are sent.
 func (s *Server) Stop(limit time.Duration) {
 	s.Drain()
+	s.isStopping.Store(true)
 	s.listener.Stop()
+	s.hurry()
 	closed := make(chan struct{})
 	go func() {
 		s.group.Wait()
@@ -139,6 +140,15 @@
 	}
 }
 
+// hurry applies the stop to the connections that wait for a request.
+func (s *Server) hurry() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for n := range s.conns {
+		n.hurry()
+	}
+}
+
 // abandonTime is how long the answers to abandoned requests may take to be sent.
 const abandonTime = 100 * time.Millisecond
 
--- a/sidecar/ingress/stop_test.go
+++ b/sidecar/ingress/stop_test.go
@@ -77,6 +77,50 @@
 	}
 }
 
+func TestRequestsOnOpenConnectionsDuringTheDrainAreAnswered(t *testing.T) {
+	s, h, address := start(t)
+	conns, readers := openConnections(t, h, address, 4)
+	s.Drain()
+	time.Sleep(50 * time.Millisecond)
+	for i, conn := range conns {
+		_, err := io.WriteString(conn, get("/during"))
+		assert.NilError(t, err)
+		response, body := read(t, readers[i])
+		assert.Equal(t, body, "GET /during ")
+		assert.Assert(t, response.Close)
+		_, err = readers[i].ReadByte()
+		assert.Equal(t, err, io.EOF)
+	}
+}
+
+func TestUnusedConnectionsAreClosedByTheStopOnly(t *testing.T) {
+	s, h, address := start(t)
+	_, readers := openConnections(t, h, address, 4)
+	s.Drain()
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	go s.Stop(5 * time.Second)
+	for _, r := range readers {
+		_, err := r.ReadByte()
+		assert.Equal(t, err, io.EOF)
+	}
+	assert.Assert(t, time.Since(began) < 2*time.Second)
+}
+
+// A client learns from a reset that a request which crosses the close was not read.
+func TestWhatArrivesAfterTheCloseOfAnUnusedConnectionIsNotRead(t *testing.T) {
+	s, _, address := start(t)
+	c, r := dial(t, address)
+	go s.Stop(5 * time.Second)
+	_, err := r.ReadByte()
+	assert.Equal(t, err, io.EOF)
+	_, err = io.WriteString(c, get("/late"))
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	_, err = io.WriteString(c, get("/later"))
+	assert.Assert(t, err != nil, "the connection was reset")
+}
+
 func TestAConnectionMayIdleAfterAnAnswerThatTookLongerThanTheIdleTimeout(t *testing.T) {
 	_, h, address := startWithIdleTimeout(t, 300*time.Millisecond)
 	c, r := dial(t, address)
