--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -8,13 +8,9 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
-	"golang.org/x/net/http/httpguts"
-
 	"siskinspar.example/sidecar/connection"
 	"siskinspar.example/sidecar/memory"
 	"siskinspar.example/sidecar/recovery"
@@ -26,7 +22,8 @@
 	// maximumPipelined limits the requests of one connection that wait for their answers, and are thus served
 	// concurrently.
 	maximumPipelined = 32
-	// lingerTimeout is how long to wait, after the last answer, until the client closes its side of the connection.
+	// lingerTimeout is how long to wait, after the last answer, until the client closes its side of the connection. A
+	// connection has to be unused for as long to be closed by a server that stops.
 	lingerTimeout = 500 * time.Millisecond
 	// writeTimeout limits the time that a client takes to receive one answer.
 	writeTimeout = 30 * time.Second
@@ -57,10 +54,13 @@
 	cancel context.CancelFunc
 
 	mu sync.Mutex
-	// isWaiting is true while the reader waits for the first byte of the next request.
+	// isWaiting is true while the reader waits for the first byte of the next request, for up to idle if none is unanswered.
 	isWaiting bool
-	// isStopped is true once no further request is awaited; what has arrived is still read.
-	isStopped bool
+	idle      time.Duration
+	// unanswered is the number of requests that were read and have no answer yet.
+	unanswered int
+	// usedAt is when the last answer was sent, or when the connection was accepted.
+	usedAt time.Time
 	// isClosing is true once an answer tells the client that the connection closes.
 	isClosing bool
 	// isReadDone is true once the reader has returned.
@@ -75,7 +75,8 @@
 func newConn(s *Server, c net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &memory.Limiter{Reader: connection.New(c)}
-	return &conn{Conn: c, server: s, limit: l, reader: bufio.NewReaderSize(l, readBufferSize), queue: make(chan *exchange, maximumPipelined), ctx: ctx, cancel: cancel, accepted: time.Now()}
+	now := time.Now()
+	return &conn{Conn: c, server: s, limit: l, reader: bufio.NewReaderSize(l, readBufferSize), queue: make(chan *exchange, maximumPipelined), ctx: ctx, cancel: cancel, usedAt: now, accepted: now}
 }
 
 // run serves the connection until it has ended.
@@ -106,6 +107,9 @@
 		if x == nil {
 			return
 		}
+		n.mu.Lock()
+		n.unanswered++
+		n.mu.Unlock()
 		n.queue <- x
 		if x.request != nil {
 			go func() { x.response <- n.serve(x.request) }()
@@ -125,8 +129,9 @@
 	return n.server.Handler.Serve(n.ctx, r)
 }
 
-// awaitRequest waits up to idle for the first byte of a request, and reports whether to read the request. If the
-// connection ends meanwhile, the requests that are being served are cancelled.
+// awaitRequest waits for the first byte of a request, and reports whether to read the request. The wait ends when the
+// connection was unused for idle or, once the server stops, for lingerTimeout; what has arrived until then is read. If
+// the client disconnects meanwhile, the requests that are being served are cancelled.
 func (n *conn) awaitRequest(idle time.Duration) bool {
 	if !n.startWaiting(idle) {
 		return false
@@ -153,151 +158,36 @@
 		return false
 	}
 	n.isWaiting = true
+	n.idle = idle
 	n.limit.AllowAll()
-	if n.isStopped {
-		idle = 0
-	}
-	// If the deadline can't be set, the next read fails.
-	_ = n.SetReadDeadline(time.Now().Add(idle))
+	n.limitWait()
 	return true
 }
 
-// stopReading ends the wait for another request. What has arrived until then is still read.
-func (n *conn) stopReading() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.isStopped = true
-	if n.isWaiting {
-		// If the deadline can't be set, the next read fails.
-		_ = n.SetReadDeadline(time.Now())
-	}
-}
-
-// readRequest reads one request and reports whether another may follow it. It returns nil if the connection ended
-// before the request was whole.
-func (n *conn) readRequest(l Limits) (x *exchange, isOpen bool) {
-	// If the deadline can't be set, the next read fails.
-	_ = n.SetReadDeadline(time.Now().Add(l.HeaderTimeout))
-	// The buffered bytes passed the limit reader while it was without limit, so they are deducted here. One byte more than
-	// the limit may be read, so that headers of just HeaderBytes don't fail; headerSize then checks the limit.
-	n.limit.Allow(max(0, l.HeaderBytes-n.reader.Buffered()) + 1)
-	r, err := http.ReadRequest(n.reader)
-	if err != nil {
-		return n.refuse(headerStatus(err))
-	}
-	if headerSize(r) > l.HeaderBytes {
-		return n.refuse(http.StatusRequestHeaderFieldsTooLarge)
-	}
-	n.limit.AllowAll()
-	arrived := time.Now()
-	if status := checkRequest(r); status != 0 {
-		return n.refuse(status)
-	}
-	if r.ContentLength > int64(l.BodyBytes) {
-		// The client may be waiting for a 100 Continue, so nothing is read.
-		return n.refuse(http.StatusRequestEntityTooLarge)
-	}
-	n.allowBody(r)
-	// If the deadline can't be set, the next read fails.
-	_ = n.SetReadDeadline(time.Now().Add(l.IdleTimeout))
-	body, err := memory.ReadBody(r.Body, r.ContentLength, l.BodyBytes, n.server.Memory)
-	if err != nil {
-		return n.refuse(bodyStatus(err))
-	}
-	if !n.server.Memory.Acquire(len(body)) {
-		return n.refuse(http.StatusServiceUnavailable)
-	}
-	// The length of an HTTP/1.0 request with a transfer encoding is ambiguous, so nothing after such a request is read.
-	isLast := r.Close || !r.ProtoAtLeast(1, 1)
-	x = &exchange{request: &Request{Request: r, BodyContent: body, Arrived: arrived}, response: make(chan *Response, 1), isLast: isLast, held: len(body)}
-	return x, !isLast
-}
-
-// allowBody sends 100 Continue to a client that expects it before it sends its body, unless earlier requests of the
-// connection are queued for their answers: the client would take the 100 Continue as part of the answer to one of these.
-// The client then has to send its body without a 100 Continue.
-func (n *conn) allowBody(r *http.Request) {
-	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") && len(n.queue) == 0 {
-		// If the write fails, so does the read of the body.
-		_, _ = io.WriteString(n.Conn, "HTTP/1.1 100 Continue\r\n\r\n")
-	}
-}
-
-// refuse returns the last exchange of a connection, which answers an unreadable request with a status. For status 0 it
-// returns nil and cancels the requests that are being served.
-func (n *conn) refuse(status int) (*exchange, bool) {
-	if status == 0 {
-		n.cancel()
-		return nil, false
-	}
-	x := &exchange{response: make(chan *Response, 1), isLast: true}
-	x.response <- n.server.Handler.Refuse(status)
-	return x, false
-}
-
-// headerStatus returns the status for a failure to read the headers, or 0 if the connection ended.
-func headerStatus(err error) int {
-	var networkError net.Error
-	switch {
-	case errors.Is(err, memory.ErrTooLarge):
-		return http.StatusRequestHeaderFieldsTooLarge
-	case errors.As(err, &networkError) && networkError.Timeout():
-		return http.StatusRequestTimeout
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &networkError):
-		return 0
-	}
-	return http.StatusBadRequest
-}
-
-// bodyStatus returns the status for a failure to read the body, or 0 if the connection ended.
-func bodyStatus(err error) int {
-	var networkError net.Error
-	switch {
-	case errors.Is(err, memory.ErrTooLarge):
-		return http.StatusRequestEntityTooLarge
-	case errors.Is(err, memory.ErrExhausted):
-		return http.StatusServiceUnavailable
-	case errors.As(err, &networkError) && networkError.Timeout():
-		return http.StatusRequestTimeout
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &networkError):
-		return 0
-	}
-	return http.StatusBadRequest
-}
-
-// checkRequest returns 0, or the status with which to refuse a request that a backend server could interpret differently.
-func checkRequest(r *http.Request) int {
-	isHTTP11 := r.ProtoMajor == 1 && r.ProtoMinor == 1
+// limitWait sets the deadline of the wait for a request, if there is one. The caller holds mu.
+func (n *conn) limitWait() {
+	var deadline time.Time
 	switch {
-	case r.ProtoMajor != 1:
-		return http.StatusHTTPVersionNotSupported
-	case isHTTP11 && r.Host == "":
-		return http.StatusBadRequest
-	case !strings.HasPrefix(r.RequestURI, "/") && r.RequestURI != "*":
-		return http.StatusBadRequest
-	case r.Method == http.MethodConnect, !httpguts.ValidHostHeader(r.Host):
-		return http.StatusBadRequest
-	}
-	for name, values := range r.Header {
-		if !httpguts.ValidHeaderFieldName(name) || slices.ContainsFunc(values, isInvalidValue) {
-			return http.StatusBadRequest
-		}
+	case !n.isWaiting:
+		return
+	case n.isClosing:
+		deadline = time.Now()
+	case n.unanswered > 0:
+		// The end of the connection has to be noticed while a request is served.
+	case n.server.isStopping.Load():
+		deadline = n.usedAt.Add(lingerTimeout)
+	default:
+		deadline = n.usedAt.Add(n.idle)
 	}
-	return 0
+	// If the deadline can't be set, the next read fails.
+	_ = n.SetReadDeadline(deadline)
 }
 
-// isInvalidValue reports whether v is not allowed as the value of a header.
-func isInvalidValue(v string) bool { return !httpguts.ValidHeaderFieldValue(v) }
-
-// headerSize returns the approximate size in bytes of the request line and headers as they were sent.
-func headerSize(r *http.Request) int {
-	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n\r\n")
-	for name, values := range r.Header {
-		for _, v := range values {
-			size += len(name) + len(v) + len(": \r\n")
-		}
-	}
-	return size
+// hurry applies the stop of the server to a connection that waits for a request.
+func (n *conn) hurry() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.limitWait()
 }
 
 // cancelOnDisconnect cancels the requests that are being served when the client disconnects. It is called when no
@@ -312,18 +202,16 @@
 	}()
 }
 
-// linger closes the connection once the client has closed its side or lingerTimeout has passed. Closing it with unread
-// bytes would reset it, and the last answer could be lost.
+// linger closes the connection. After an answer that told the client of the close, it waits until the client has closed
+// its side or lingerTimeout has passed: closing it with unread bytes would reset it, and that answer could be lost. On
+// another connection nothing more is read, so that the client learns by the reset that a request was not.
 func (n *conn) linger() {
 	defer n.Close()
 	t, ok := n.Conn.(*net.TCPConn)
-	if !ok || n.ctx.Err() != nil || t.CloseWrite() != nil {
+	if !ok || !n.isCloseTold || n.ctx.Err() != nil || t.CloseWrite() != nil {
 		return
 	}
 	// It does not matter how the client ends the connection, so errors are ignored.
 	_ = n.SetReadDeadline(time.Now().Add(lingerTimeout))
-	discarded, _ := io.Copy(io.Discard, n.Conn)
-	if discarded > 0 && !n.isCloseTold {
-		n.server.Logger.Warn("ingress: bytes of a client discarded at the close", "client", n.RemoteAddr(), "bytes", discarded, "age", time.Since(n.accepted), "draining", n.server.isDraining.Load())
-	}
+	_, _ = io.Copy(io.Discard, n.Conn)
 }
