fix(sidecar): look for answers that have arrived before the drain ends

What callers saw: a request that was passed on got 502 at the end of the drain although its backend server had answered, if the daemon had no processor time to read the answer. A call of another daemon was cut there without a reply.

Cause: at the end of the drain the requests without an answer are abandoned and the connections of other daemons closed, without a look at what lies in the sockets. Calls that began before the SIGTERM kept their own, later deadlines.

Change: at 0.88 of the grace period, shortly before the end of the drain at 0.9, the owner and the entry end their calls as by their deadlines. Each of them then reads what has arrived and returns the answer, or that there is none, and its client or daemon gets that. Both shares lie in the last sixth of the period, in which a request at whose server still works may be broken off. No request is given more time than until then.

A process that does not run between the two shares, 120 ms of 6 s, abandons its calls as before.

--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -78,8 +78,8 @@
 		return r, true, nil
 	case <-ctx.Done():
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		// The owner ends the call at its deadline, which is earlier, and may have an answer that has arrived.
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		// The owner ends the call earlier, at its deadline or in Expire, and may have an answer that has arrived.
 		return <-result, true, nil
 	}
 	return message.Reply{}, true, ctx.Err()
--- a/sidecar/entry/hedge.go
+++ b/sidecar/entry/hedge.go
@@ -39,9 +39,9 @@
 	return s.reply.Outcome == message.Ran && s.reply.Answer.Status < http.StatusInternalServerError
 }
 
-// send sends the request to one owner and waits for the reply until answerGrace after the deadline.
+// send sends the request to one owner and waits for the reply until answerGrace after the deadline, or until Expire.
 func (h *Handler) send(ctx context.Context, c *clientCall, m *message.Call, to member.Candidate) callResult {
-	limited, cancel := context.WithDeadline(ctx, h.deadline(c).Add(answerGrace))
+	limited, cancel := h.limit(ctx, h.deadline(c).Add(answerGrace))
 	defer cancel()
 	h.Directory.RecordSent(to.Address)
 	started := time.Now()
--- a/sidecar/entry/stop.go
+++ b/sidecar/entry/stop.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"time"
@@ -22,6 +23,9 @@
 	at time.Time
 	// known is closed by set; it is nil while nobody waits.
 	known chan struct{}
+	// expired ends when Expire is called, for which expire is called; both are nil while nobody waits.
+	expired context.Context
+	expire  context.CancelFunc
 }
 
 // set sets the end and wakes those that wait for it.
@@ -52,10 +56,41 @@
 	return e.known
 }
 
+// expiry returns a context that ends when Expire is called, and the function that ends it.
+func (e *ending) expiry() (context.Context, context.CancelFunc) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.expired == nil {
+		e.expired, e.expire = context.WithCancel(context.Background())
+	}
+	return e.expired, e.expire
+}
+
 // StopBy tells the handler that this daemon ends at the time end; it is called once. A request that is not passed on yet
 // is refused once its usual answer time no longer fits, so that its client can try elsewhere.
 func (h *Handler) StopBy(end time.Time) { h.ending.set(end) }
 
+// Expire ends the waits for replies of owners as if the deadlines had passed, so that replies that have arrived are
+// returned before this daemon ends. The owner of this daemon must expire first.
+func (h *Handler) Expire() {
+	_, expire := h.ending.expiry()
+	expire()
+}
+
+// limit returns a context that ends at a deadline or when Expire is called; the cause is context.DeadlineExceeded in both
+// cases.
+func (h *Handler) limit(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	timed, stopTimer := context.WithDeadline(ctx, deadline)
+	limited, cancel := context.WithCancelCause(timed)
+	expired, _ := h.ending.expiry()
+	stopWaiting := context.AfterFunc(expired, func() { cancel(context.DeadlineExceeded) })
+	return limited, func() {
+		stopWaiting()
+		cancel(nil)
+		stopTimer()
+	}
+}
+
 // Abandon implements ingress.Handler: it returns the response to a request that is unanswered when this daemon ends. The
 // request may have been passed on, so the response promises nothing.
 func (h *Handler) Abandon(r *ingress.Request) *ingress.Response {
--- a/sidecar/entry/stop_test.go
+++ b/sidecar/entry/stop_test.go
@@ -1,6 +1,8 @@
 package entry_test
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -8,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"siskinspar.example/sidecar/message"
 	"siskinspar.example/sidecar/route"
 )
 
@@ -50,3 +53,51 @@
 		assert.Equal(t, len(f.called), 1)
 	})
 }
+
+// replyAtTheEnd has a reply ready when the wait for it ends, as a reply that lies unread in the socket.
+type replyAtTheEnd struct{ *fakeDaemons }
+
+// Call implements entry.Owners.
+func (replyAtTheEnd) Call(ctx context.Context, _ string, _ *message.Call) (message.Reply, bool, error) {
+	<-ctx.Done()
+	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return message.Reply{}, true, ctx.Err()
+	}
+	return ran(http.StatusOK).reply, true, nil
+}
+
+// A daemon that ends must not break off a call whose reply has arrived.
+func TestTheReplyThatHasArrivedWhenTheCallsExpireIsReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeDaemons{}
+		h := newHandler(t, f, route.Unrepeatable)
+		h.Owners = replyAtTheEnd{f}
+		time.AfterFunc(100*time.Millisecond, func() {
+			h.StopBy(time.Now().Add(100 * time.Millisecond))
+			time.Sleep(100 * time.Millisecond)
+			h.Expire()
+		})
+		began := time.Now()
+		assert.Equal(t, h.Serve(t.Context(), arriving("/x/1")).Status, http.StatusOK)
+		assert.Equal(t, time.Since(began), 200*time.Millisecond)
+	})
+}
+
+func TestARequestWithoutAReplyWhenTheCallsExpireIsAnsweredAtOnce(t *testing.T) {
+	for _, kind := range []route.Kind{route.Unrepeatable, route.Idempotent} {
+		synctest.Test(t, func(t *testing.T) {
+			slow := ran(http.StatusOK)
+			slow.delay = time.Second
+			f := &fakeDaemons{script: []scriptedCall{slow, slow, slow}}
+			h := newHandler(t, f, kind)
+			time.AfterFunc(100*time.Millisecond, func() {
+				h.StopBy(time.Now())
+				h.Expire()
+			})
+			began := time.Now()
+			assert.Equal(t, h.Serve(t.Context(), arriving("/x/1")).Status, http.StatusBadGateway)
+			assert.Equal(t, time.Since(began), 100*time.Millisecond)
+			assert.Equal(t, len(f.called), 1, "it is not passed on again")
+		})
+	}
+}
--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -94,8 +94,10 @@
 func (o *Owner) Call(c message.Call) message.Reply {
 	arrived := time.Now()
 	// The timeout of the send starts only once a connection is open.
-	ctx, cancel := context.WithDeadline(context.Background(), arrived.Add(c.Job.Deadline))
-	defer cancel()
+	limited, stopTimer := context.WithDeadline(context.Background(), arrived.Add(c.Job.Deadline))
+	defer stopTimer()
+	ctx, cancel := context.WithCancelCause(limited)
+	defer cancel(nil)
 	tc, client, reason := o.acquireSlot(arrived, c, cancel)
 	if reason != "" {
 		return o.refusedReply(reason)
@@ -142,7 +144,7 @@
 
 // acquireSlot claims the granted slot of a call with a ticket, and takes a free slot for one without. It returns the
 // reason if the call may not run.
-func (o *Owner) acquireSlot(now time.Time, c message.Call, cancel context.CancelFunc) (*trackedCall, *upstream.Client, string) {
+func (o *Owner) acquireSlot(now time.Time, c message.Call, cancel context.CancelCauseFunc) (*trackedCall, *upstream.Client, string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.results.isBarred(callKey{c.Job.Entry, c.Job.Number}) {
@@ -165,7 +167,7 @@
 
 // claimSlot claims the slot that was granted to a call; the caller holds the lock. It returns the reason if the grant
 // has expired or the call may not run.
-func (o *Owner) claimSlot(now time.Time, c message.Call, cancel context.CancelFunc) (*trackedCall, *upstream.Client, string) {
+func (o *Owner) claimSlot(now time.Time, c message.Call, cancel context.CancelCauseFunc) (*trackedCall, *upstream.Client, string) {
 	tc, ok := o.tickets[slot.Ticket(c.Ticket)]
 	if !ok || tc.key != (callKey{c.Job.Entry, c.Job.Number}) || !o.slots.Claim(now, tc.ticket) {
 		return nil, nil, string(slot.ReasonGrantExpired)
@@ -179,12 +181,14 @@
 	return tc, o.client, ""
 }
 
-// setCancel lets a withdrawal cancel the call, except that an unrepeatable request runs to its end.
-func (tc *trackedCall) setCancel(q message.Job, cancel context.CancelFunc) {
-	if !q.Kind.IsRepeatable() {
-		cancel = func() {}
+// setCancel lets Expire end the call, and a withdrawal cancel it, except that an unrepeatable request runs to its end.
+func (tc *trackedCall) setCancel(q message.Job, cancel context.CancelCauseFunc) {
+	tc.expire = func() { cancel(context.DeadlineExceeded) }
+	tc.cancel = func() {
+		if q.Kind.IsRepeatable() {
+			cancel(nil)
+		}
 	}
-	tc.cancel = cancel
 }
 
 // refusedReply returns the reply to a call that has not run.
--- a/sidecar/owner/drain.go
+++ b/sidecar/owner/drain.go
@@ -110,6 +110,18 @@
 	o.end = end
 }
 
+// Expire ends the calls that run as if their deadlines had passed, so that each returns the answer that has arrived, or
+// that there is none, before this daemon ends.
+func (o *Owner) Expire() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, tc := range o.calls {
+		if tc.expire != nil {
+			tc.expire()
+		}
+	}
+}
+
 // isTooLate reports whether the usual service of a request does not fit before the end of this daemon; the caller holds
 // the lock.
 func (o *Owner) isTooLate(now time.Time, route string) bool {
--- a/sidecar/owner/owner.go
+++ b/sidecar/owner/owner.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"context"
 	"log/slog"
 	"math"
 	"net/http"
@@ -134,8 +133,10 @@
 	ticket slot.Ticket
 	// waitResult receives the empty reason once a waiting request gets a slot, or the reason of its refusal.
 	waitResult chan slot.Reason
-	// cancel ends a running call; it is nil before the call starts.
-	cancel context.CancelFunc
+	// cancel ends a running call that is withdrawn; it is nil before the call starts.
+	cancel func()
+	// expire ends a running call as its deadline does; it is nil before the call starts.
+	expire func()
 	// grantLifetime is how long a granted slot waits for the call: longer if the call has a large body.
 	grantLifetime time.Duration
 	// deadline and priority are those of the request.
--- a/sidecar/owner/stop_test.go
+++ b/sidecar/owner/stop_test.go
@@ -1,6 +1,11 @@
 package owner_test
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
@@ -51,3 +56,40 @@
 	}
 	assert.Equal(t, s.runs.Load(), int32(0))
 }
+
+// A daemon that ends must not drop an answer that it had no processor time to read: the request has run, and its client
+// would get a failure in place of the answer.
+func TestCallsThatExpireReturnTheAnswersThatHaveArrived(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		answer  string
+		outcome message.Outcome
+	}{
+		{"whole", "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nContent-Length: 4\r\n\r\nbody", message.Ran},
+		{"a part", "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nContent-Length: 4\r\n\r\nbod", message.Unknown},
+		{"none", "", message.Unknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			defer l.Close()
+			o := newOwner(t)
+			o.Announce(member.Server{ID: "a", Service: "desk", Address: l.Addr().String(), Slots: 1, State: member.Ready, Born: 10, Sequence: 5})
+			replies := make(chan message.Reply, 1)
+			go func() { replies <- o.Call(call("one", "/", "a", route.Unrepeatable, 1)) }()
+			server, err := l.Accept()
+			assert.NilError(t, err)
+			defer server.Close()
+			_, err = http.ReadRequest(bufio.NewReader(server))
+			assert.NilError(t, err)
+			// With one processor the owner does not run between the write and the end of the call.
+			defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+			_, err = io.WriteString(server, c.answer)
+			assert.NilError(t, err)
+			o.Expire()
+			reply := <-replies
+			assert.Equal(t, reply.Outcome, c.outcome)
+			assert.Equal(t, reply.IsExpired, c.outcome == message.Unknown)
+		})
+	}
+}
--- a/sidecar/peer/connection.go
+++ b/sidecar/peer/connection.go
@@ -59,8 +59,8 @@
 	conn *clientConn
 }
 
-// Call sends a call and waits for its reply until the context ends. A reply that has arrived before its deadline is
-// returned. After an error the reply must not be read, since a late reply may still be written to it. An error other than the end of the context also closes the connection, unless
+// Call sends a call and waits for its reply until the context ends. A reply that has arrived when the
+// context ends because of context.DeadlineExceeded is returned. After an error the reply must not be read, since a late reply may still be written to it. An error other than the end of the context also closes the connection, unless
 // the call was not sent, which is reported as ErrNotSent.
 func (c *Connection) Call(ctx context.Context, method string, arguments, reply any) error {
 	client, err := c.connect(ctx)
@@ -90,7 +90,7 @@
 // arrivedReply returns the call if its reply is ready or has arrived by the deadline of the context, whether it is read
 // yet or not, and otherwise nil. After a cancellation nobody waits for the reply.
 func (c *client) arrivedReply(ctx context.Context, done <-chan *rpc.Call) *rpc.Call {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		timer := time.NewTimer(drainTimeout)
 		defer timer.Stop()
 		select {
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -9,16 +9,21 @@
 // After that it refuses new calls, so that none is cut.
 //
 // A request that comes too late to be answered in time is refused and not passed on, so that it can be served elsewhere.
+// Shortly before the end of the drain the calls that still run are ended as by their deadlines, so that answers that have
+// arrived are passed on.
 //
 // The listener stays open for two readiness checks, so that clients see the daemon as not ready. After that it refuses
 // connections, and clients go to another daemon without a request whose outcome is unknown.
 func (s *Sidecar) stop() {
-	limit := time.Duration(stopShare * float64(s.Settings.Grace))
-	deadline := time.Now().Add(limit)
+	now := time.Now()
+	limit := s.graceShare(stopShare)
+	deadline := now.Add(limit)
+	expiry := now.Add(s.graceShare(expiryShare))
 	s.Logger.Info("daemon: stopping", "limit", limit)
 	s.isStopping.Store(true)
-	s.entry.StopBy(deadline)
-	s.owner.StopBy(deadline)
+	s.entry.StopBy(expiry)
+	s.owner.StopBy(expiry)
+	defer time.AfterFunc(time.Until(expiry), s.expireCalls).Stop()
 	s.sendRecord()
 	s.ingress.Drain()
 	time.Sleep(min(noticeTime, time.Until(deadline)/2))
@@ -36,7 +41,21 @@
 	s.Logger.Info("daemon: stopped")
 }
 
+// graceShare returns a share of the platform's grace period.
+func (s *Sidecar) graceShare(share float64) time.Duration {
+	return time.Duration(share * float64(s.Settings.Grace))
+}
+
+// expireCalls ends the calls that still run. Those of the owner are first, since the entry waits for them.
+func (s *Sidecar) expireCalls() {
+	s.owner.Expire()
+	s.entry.Expire()
+}
+
 const (
+	// expiryShare is the share of the platform's grace period after which calls that still run are ended, so that their
+	// replies reach clients and other daemons by the end of stopShare. It lies in the last sixth of the period.
+	expiryShare = 0.88
 	// stopShare is the share of the platform's grace period in which requests are answered; the rest is for the end of the
 	// process. A request that a server still runs in the last sixth of the period may be abandoned.
 	stopShare = 0.9
--- a/sidecar/upstream/client.go
+++ b/sidecar/upstream/client.go
@@ -95,7 +95,8 @@
 // Send sends a request at most once and returns the whole answer. A request without an ID gets a new connection, since
 // nothing would distinguish its answer from a late one to an earlier request, and so does one with an ID that was refused
 // or failed before: the server may write that answer once more. It waits for the answer until the context ends or the
-// timeout, which starts when the connection is open, has passed.
+// timeout, which starts when the connection is open, has passed. If the cause of the end is context.DeadlineExceeded, an
+// answer that has arrived is still read.
 func (c *Client) Send(ctx context.Context, q message.Request, header http.Header, timeout time.Duration) Result {
 	id := header.Get(c.IDHeader)
 	n, err := c.acquire(ctx, id != "" && !c.hasFailed(id))
@@ -153,8 +154,8 @@
 		case <-expired:
 			return n.arrivedAnswer(context.DeadlineExceeded)
 		case <-ctx.Done():
-			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-				return n.arrivedAnswer(ctx.Err())
+			if cause := context.Cause(ctx); errors.Is(cause, context.DeadlineExceeded) {
+				return n.arrivedAnswer(cause)
 			}
 			return n.wholeAnswer(ctx.Err())
 		}
