fix(sidecar): answer the calls of the backend server that have arrived when the daemon stops

What callers saw: calls of the backend server and of the platform that were being answered, read or lay unread were cut at the end of a stop. A backend server that announces its drain then has no acknowledgement, although the daemon has recorded it.

Cause: the listeners for announcements, readiness and metrics were closed with http.Server.Close. http.Server.Shutdown does not serve either: it closes connections that wait for a request at once, whatever lies in their sockets, and drops a request that is read while it waits.

Change: package httpserver, which shuts an http.Server down in place of it. It closes the listeners and ends the waits for requests by a read deadline of now, with sidecar/connection under them, so that a request that has arrived is read. Each answer that begins after that tells the client that the connection closes.

No test plays this through a whole daemon.

Connections that the kernel has set up and the listener not accepted are still reset.

--- /dev/null
+++ b/sidecar/httpserver/conn.go
@@ -0,0 +1,71 @@
+package httpserver
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// conn is a connection of a client. Once it is hurried, its wait for a request ends when the socket is found empty.
+type conn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// isWaiting is true until the first byte of the next request was read.
+	isWaiting bool
+	isHurried bool
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		c.isWaiting = false
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isHurried && c.isWaiting {
+		t = time.Now()
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// CloseWrite closes the side of the connection that the server writes, for http.Server.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// hurry ends the present wait for a request and each later one.
+func (c *conn) hurry() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isHurried = true
+	if c.isWaiting {
+		// If the deadline can't be set, the connection has ended.
+		_ = c.Conn.SetReadDeadline(time.Now())
+	}
+}
+
+// setState records a change that the server has made.
+func (c *conn) setState(s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch s {
+	case http.StateIdle:
+		c.isWaiting = true
+	case http.StateHijacked:
+		c.isWaiting = false
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -16,9 +16,11 @@
 
 	"siskinspar.example/sidecar/bandwidth"
 	"siskinspar.example/sidecar/configuration"
+	"siskinspar.example/sidecar/connection"
 	"siskinspar.example/sidecar/departure"
 	"siskinspar.example/sidecar/discovery"
 	"siskinspar.example/sidecar/entry"
+	"siskinspar.example/sidecar/httpserver"
 	"siskinspar.example/sidecar/ingress"
 	"siskinspar.example/sidecar/member"
 	"siskinspar.example/sidecar/memory"
@@ -111,7 +113,7 @@
 	rollouts   *rollouts
 	ingress    *ingress.Server
 	peers      *peer.Server
-	servers    []*http.Server
+	servers    []*httpserver.Server
 	isStopping atomic.Bool
 	sequence   atomic.Uint64
 }
@@ -273,8 +275,9 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", address)
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: requestTimeout, IdleTimeout: time.Minute}
+	server := httpserver.New(&http.Server{Handler: h, ReadHeaderTimeout: requestTimeout, IdleTimeout: time.Minute})
 	s.servers = append(s.servers, server)
+	l = server.Listener(connection.Listener{Listener: l})
 	go func() {
 		if err := server.Serve(l); err != http.ErrServerClosed {
 			s.Logger.Error("daemon: listener failed", "address", address, "error", err)
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -1,6 +1,9 @@
 package sidecar
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // stop answers the requests that were read, waits for the calls of other daemons and closes all listeners and
 // connections.
@@ -33,11 +36,7 @@
 	s.peers.Stop(max(replyTime, time.Until(deadline)))
 	s.owner.Stop()
 	s.pool.Close()
-	for _, server := range s.servers {
-		if err := server.Close(); err != nil {
-			s.Logger.Warn("daemon: closing a listener failed", "error", err)
-		}
-	}
+	s.stopServers()
 	s.Logger.Info("daemon: stopped")
 }
 
@@ -46,6 +45,21 @@
 	return time.Duration(share * float64(s.Settings.Grace))
 }
 
+// stopServers answers the calls of the backend server and the platform that have arrived, and closes their listeners and
+// connections.
+func (s *Sidecar) stopServers() {
+	ctx, cancel := context.WithTimeout(context.Background(), serversTime)
+	defer cancel()
+	for _, server := range s.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			s.Logger.Warn("daemon: calls without an answer are cut at the end of the drain", "error", err)
+		}
+		if err := server.Close(); err != nil {
+			s.Logger.Warn("daemon: closing a listener failed", "error", err)
+		}
+	}
+}
+
 // expireCalls ends the calls that still run. Those of the owner are first, since the entry waits for them.
 func (s *Sidecar) expireCalls() {
 	s.owner.Expire()
@@ -64,6 +78,8 @@
 	noticeTime = 2200 * time.Millisecond
 	// replyTime is the shortest time that is left for replies to other daemons, also when the deadline has passed.
 	replyTime = 100 * time.Millisecond
+	// serversTime is how long the calls of the backend server and the platform may take to be answered at the end.
+	serversTime = 200 * time.Millisecond
 	// callsPollPeriod is the time between two checks for calls that still run.
 	callsPollPeriod = 50 * time.Millisecond
 )
