fix(core): answer the requests that have arrived when a listener of the daemon stops

What callers saw: requests on connections kept open ended with their connection and no answer when a daemon of the older path stopped and had not got the processor time to read them.

Cause: http.Server.Shutdown closes connections that wait for a request at once, and drops a request that is read while it waits.

Change: the server is shut down by package httpserver, within the same limit.

--- a/daemon/core/server.go
+++ b/daemon/core/server.go
@@ -13,6 +13,9 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 	"golang.org/x/net/netutil"
+
+	"siskinspar.example/sidecar/connection"
+	"siskinspar.example/sidecar/httpserver"
 )
 
 const (
@@ -42,7 +45,7 @@
 	// IsKilled makes a stop close the connections of requests in flight at once.
 	IsKilled *atomic.Bool
 
-	server http.Server
+	server *httpserver.Server
 	group  conc.WaitGroup
 	done   chan struct{}
 }
@@ -59,16 +62,16 @@
 		}
 		s.Listener = l
 	}
-	l := netutil.LimitListener(s.Listener, s.MaximumConnections)
-	if s.TLS != nil {
-		l = tls.NewListener(l, s.TLS)
-	}
-	s.server = http.Server{
+	s.server = httpserver.New(&http.Server{
 		Handler:           s.Handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    s.MaximumHeaderSize,
 		ErrorLog:          slog.NewLogLogger(s.Logger.Handler(), slog.LevelDebug),
+	})
+	l := s.server.Listener(netutil.LimitListener(connection.Listener{Listener: s.Listener}, s.MaximumConnections))
+	if s.TLS != nil {
+		l = tls.NewListener(l, s.TLS)
 	}
 	s.group.Go(func() { s.serve(l) })
 	s.group.Go(func() { s.shutDown(ctx) })
