--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -36,7 +36,7 @@
 	s.peers.Stop(max(replyTime, time.Until(deadline)))
 	s.owner.Stop()
 	s.pool.Close()
-	s.stopServers()
+	s.stopServers(max(serversTime, time.Until(deadline)))
 	s.Logger.Info("daemon: stopped")
 }
 
@@ -45,10 +45,10 @@
 	return time.Duration(share * float64(s.Settings.Grace))
 }
 
-// stopServers answers the calls of the backend server and the platform that have arrived, and closes their listeners and
-// connections.
-func (s *Sidecar) stopServers() {
-	ctx, cancel := context.WithTimeout(context.Background(), serversTime)
+// stopServers closes the listeners for the backend server and the platform, waits for up to limit until their calls that
+// have arrived are answered, and closes their connections.
+func (s *Sidecar) stopServers(limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	for _, server := range s.servers {
 		if err := server.Shutdown(ctx); err != nil {
@@ -78,8 +78,8 @@
 	noticeTime = 2200 * time.Millisecond
 	// replyTime is the shortest time that is left for replies to other daemons, also when the deadline has passed.
 	replyTime = 100 * time.Millisecond
-	// serversTime is how long the calls of the backend server and the platform may take to be answered at the end.
-	serversTime = 200 * time.Millisecond
+	// serversTime is the shortest time that is left for answers to the backend server and the platform.
+	serversTime = 50 * time.Millisecond
 	// callsPollPeriod is the time between two checks for calls that still run.
 	callsPollPeriod = 50 * time.Millisecond
 )
