--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/net/http/httpguts"
 
+	"siskinspar.example/sidecar/connection"
 	"siskinspar.example/sidecar/memory"
 	"siskinspar.example/sidecar/recovery"
 )
@@ -25,7 +26,8 @@
 	// maximumPipelined limits the requests of one connection that wait for their answers, and are thus served
 	// concurrently.
 	maximumPipelined = 32
-	// lingerTimeout is how long to wait, after the last answer, until the client closes its side of the connection.
+	// lingerTimeout is how long to wait, after the last answer, until the client closes its side of the connection. A
+	// connection has to be unused for as long to be closed by a server that stops.
 	lingerTimeout = 500 * time.Millisecond
 	// writeTimeout limits the time that a client takes to receive one answer.
 	writeTimeout = 30 * time.Second
@@ -56,10 +58,13 @@
 	cancel context.CancelFunc
 
 	mu sync.Mutex
-	// isWaiting is true while the reader waits for the first byte of the next request.
+	// isWaiting is true while the reader waits for the first byte of the next request, for up to idle if none is unanswered.
 	isWaiting bool
-	// isStopped is true once no further request shall be read, except one that has begun to arrive.
-	isStopped bool
+	idle      time.Duration
+	// unanswered is the number of requests that were read and have no answer yet.
+	unanswered int
+	// usedAt is when the last answer was sent, or when the connection was accepted.
+	usedAt time.Time
 	// isClosing is true once an answer tells the client that the connection closes.
 	isClosing bool
 	// isReadDone is true once the reader has returned.
@@ -73,8 +78,9 @@
 
 func newConn(s *Server, c net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &memory.Limiter{Reader: c}
-	return &conn{Conn: c, server: s, limit: l, reader: bufio.NewReaderSize(l, readBufferSize), queue: make(chan *exchange, maximumPipelined), ctx: ctx, cancel: cancel, accepted: time.Now()}
+	l := &memory.Limiter{Reader: connection.New(c)}
+	now := time.Now()
+	return &conn{Conn: c, server: s, limit: l, reader: bufio.NewReaderSize(l, readBufferSize), queue: make(chan *exchange, maximumPipelined), ctx: ctx, cancel: cancel, usedAt: now, accepted: now}
 }
 
 // run serves the connection until it has ended.
@@ -105,6 +111,9 @@
 		if x == nil {
 			return
 		}
+		n.mu.Lock()
+		n.unanswered++
+		n.mu.Unlock()
 		n.queue <- x
 		if x.request != nil {
 			go func() { x.response <- n.serve(x.request) }()
@@ -124,8 +133,9 @@
 	return n.server.Handler.Serve(n.ctx, r)
 }
 
-// awaitRequest waits up to idle for the first byte of a request, and reports whether to read the request. If the
-// connection ends meanwhile, the requests that are being served are cancelled.
+// awaitRequest waits for the first byte of a request, and reports whether to read the request. The wait ends when the
+// connection was unused for idle or, once the server stops, for lingerTimeout; what has arrived until then is read. If
+// the client disconnects meanwhile, the requests that are being served are cancelled.
 func (n *conn) awaitRequest(idle time.Duration) bool {
 	if !n.startWaiting(idle) {
 		return false
@@ -148,25 +158,40 @@
 func (n *conn) startWaiting(idle time.Duration) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.isClosing || n.isStopped && n.reader.Buffered() == 0 {
+	if n.isClosing {
 		return false
 	}
 	n.isWaiting = true
+	n.idle = idle
 	n.limit.AllowAll()
-	// If the deadline can't be set, the next read fails.
-	_ = n.SetReadDeadline(time.Now().Add(idle))
+	n.limitWait()
 	return true
 }
 
-// stopReading ends the wait for another request. A request that has begun to arrive is still read.
-func (n *conn) stopReading() {
+// limitWait sets the deadline of the wait for a request, if there is one. The caller holds mu.
+func (n *conn) limitWait() {
+	var deadline time.Time
+	switch {
+	case !n.isWaiting:
+		return
+	case n.isClosing:
+		deadline = time.Now()
+	case n.unanswered > 0:
+		// The end of the connection has to be noticed while a request is served.
+	case n.server.isStopping.Load():
+		deadline = n.usedAt.Add(lingerTimeout)
+	default:
+		deadline = n.usedAt.Add(n.idle)
+	}
+	// If the deadline can't be set, the next read fails.
+	_ = n.SetReadDeadline(deadline)
+}
+
+// hurry applies the stop of the server to a connection that waits for a request.
+func (n *conn) hurry() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.isStopped = true
-	if n.isWaiting {
-		// If the deadline can't be set, the next read fails.
-		_ = n.SetReadDeadline(time.Now())
-	}
+	n.limitWait()
 }
 
 // readRequest reads one request and reports whether another may follow it. It returns nil if the connection ended
@@ -308,18 +333,16 @@
 	}()
 }
 
-// linger closes the connection once the client has closed its side or lingerTimeout has passed. Closing it with unread
-// bytes would reset it, and the last answer could be lost.
+// linger closes the connection. After an answer that told the client of the close, it waits until the client has closed
+// its side or lingerTimeout has passed: closing it with unread bytes would reset it, and that answer could be lost. On
+// another connection nothing more is read, so that the client learns by the reset that a request was not.
 func (n *conn) linger() {
 	defer n.Close()
 	t, ok := n.Conn.(*net.TCPConn)
-	if !ok || n.ctx.Err() != nil || t.CloseWrite() != nil {
+	if !ok || !n.isCloseTold || n.ctx.Err() != nil || t.CloseWrite() != nil {
 		return
 	}
 	// It does not matter how the client ends the connection, so errors are ignored.
 	_ = n.SetReadDeadline(time.Now().Add(lingerTimeout))
-	discarded, _ := io.Copy(io.Discard, n.Conn)
-	if discarded > 0 && !n.isCloseTold {
-		n.server.Logger.Warn("ingress: bytes of a client discarded at the close", "client", n.RemoteAddr(), "bytes", discarded, "age", time.Since(n.accepted), "draining", n.server.isDraining.Load())
-	}
+	_, _ = io.Copy(io.Discard, n.Conn)
 }
--- a/sidecar/ingress/stop_test.go
+++ b/sidecar/ingress/stop_test.go
@@ -1,12 +1,17 @@
 package ingress_test
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"siskinspar.example/sidecar/ingress"
 )
 
 func TestRequestsWithoutAnAnswerAtTheEndOfTheDrainAreAnsweredInOrder(t *testing.T) {
@@ -25,3 +30,124 @@
 	_, err = r.ReadByte()
 	assert.Equal(t, err, io.EOF)
 }
+
+// openConnections opens connections to a server, of which each second one has had a request and its answer.
+func openConnections(t *testing.T, h *handler, address string, count int) ([]net.Conn, []*bufio.Reader) {
+	t.Helper()
+	conns := make([]net.Conn, count)
+	readers := make([]*bufio.Reader, count)
+	for i := range count {
+		conns[i], readers[i] = dial(t, address)
+		if i%2 == 0 {
+			continue
+		}
+		_, err := io.WriteString(conns[i], get("/first"))
+		assert.NilError(t, err)
+		_, _ = read(t, readers[i])
+		<-h.started
+	}
+	return conns, readers
+}
+
+// A process with little processor time may learn of its end before it has read what its clients sent.
+func TestRequestsThatLieUnreadInTheSocketsAtTheDrainAreAnswered(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(s *ingress.Server)
+	}{
+		{"drain", func(s *ingress.Server) { s.Drain() }},
+		{"stop", func(s *ingress.Server) { go s.Stop(5 * time.Second) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, h, address := start(t)
+			conns, readers := openConnections(t, h, address, 60)
+			// With one processor the server does not run between the writes and the end.
+			defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+			for _, conn := range conns {
+				_, err := io.WriteString(conn, get("/unread"))
+				assert.NilError(t, err)
+			}
+			c.end(s)
+			for _, r := range readers {
+				response, body := read(t, r)
+				assert.Equal(t, body, "GET /unread ")
+				assert.Assert(t, response.Close)
+			}
+		})
+	}
+}
+
+func TestRequestsOnOpenConnectionsDuringTheDrainAreAnswered(t *testing.T) {
+	s, h, address := start(t)
+	conns, readers := openConnections(t, h, address, 4)
+	s.Drain()
+	time.Sleep(50 * time.Millisecond)
+	for i, conn := range conns {
+		_, err := io.WriteString(conn, get("/during"))
+		assert.NilError(t, err)
+		response, body := read(t, readers[i])
+		assert.Equal(t, body, "GET /during ")
+		assert.Assert(t, response.Close)
+		_, err = readers[i].ReadByte()
+		assert.Equal(t, err, io.EOF)
+	}
+}
+
+func TestUnusedConnectionsAreClosedByTheStopOnly(t *testing.T) {
+	s, h, address := start(t)
+	_, readers := openConnections(t, h, address, 4)
+	s.Drain()
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	go s.Stop(5 * time.Second)
+	for _, r := range readers {
+		_, err := r.ReadByte()
+		assert.Equal(t, err, io.EOF)
+	}
+	assert.Assert(t, time.Since(began) < 2*time.Second)
+}
+
+// A client learns from a reset that a request which crosses the close was not read.
+func TestWhatArrivesAfterTheCloseOfAnUnusedConnectionIsNotRead(t *testing.T) {
+	s, _, address := start(t)
+	c, r := dial(t, address)
+	go s.Stop(5 * time.Second)
+	_, err := r.ReadByte()
+	assert.Equal(t, err, io.EOF)
+	_, err = io.WriteString(c, get("/late"))
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	_, err = io.WriteString(c, get("/later"))
+	assert.Assert(t, err != nil, "the connection was reset")
+}
+
+func TestAConnectionMayIdleAfterAnAnswerThatTookLongerThanTheIdleTimeout(t *testing.T) {
+	_, h, address := startWithIdleTimeout(t, 300*time.Millisecond)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, get("/wait"))
+	assert.NilError(t, err)
+	<-h.started
+	time.Sleep(600 * time.Millisecond)
+	close(h.release)
+	_, _ = read(t, r)
+	time.Sleep(50 * time.Millisecond)
+	_, err = io.WriteString(c, get("/next"))
+	assert.NilError(t, err)
+	_, body := read(t, r)
+	assert.Equal(t, body, "GET /next ")
+}
+
+func TestADisconnectAfterTheIdleTimeoutCancelsTheRequest(t *testing.T) {
+	_, h, address := startWithIdleTimeout(t, 100*time.Millisecond)
+	c, _ := dial(t, address)
+	_, err := io.WriteString(c, get("/wait"))
+	assert.NilError(t, err)
+	<-h.started
+	time.Sleep(300 * time.Millisecond)
+	assert.NilError(t, c.Close())
+	select {
+	case <-h.disconnected:
+	case <-time.After(10 * time.Second):
+		t.Fatal("request not cancelled")
+	}
+}
