fix(sidecar): servers that send without end leave memory to other clients

Seen by callers: while the server beside a daemon sends bodies without end, requests of other clients at this daemon for healthy servers end in 502 or 503. The process itself stays up.

Cause: all bodies that are read share one budget of 0.2 of the memory. Bodies without end hold nearly all of it until they reach their limit or the deadline, so a reply of another daemon can't be read, which ends the connection with all its calls (502), and neither can the body of a client (503).

The answers of the backend server now have a part of the budget, 0.15 of the memory, so that two of the largest answers still fit; the rest stays for others.

--- a/sidecar/memory/budget.go
+++ b/sidecar/memory/budget.go
@@ -18,6 +18,8 @@
 type Budget struct {
 	// Bytes is the size of the budget; it is set before use.
 	Bytes int64
+	// Whole is the budget of which this one is a part, or nil; what is acquired counts for both. It is set before use.
+	Whole *Budget
 
 	used atomic.Int64
 }
@@ -27,7 +29,7 @@
 	if b == nil {
 		return true
 	}
-	if b.used.Add(int64(size)) <= b.Bytes {
+	if b.used.Add(int64(size)) <= b.Bytes && b.Whole.Acquire(size) {
 		return true
 	}
 	b.used.Add(-int64(size))
@@ -38,6 +40,7 @@
 func (b *Budget) Release(size int) {
 	if b != nil {
 		b.used.Add(-int64(size))
+		b.Whole.Release(size)
 	}
 }
 
--- a/sidecar/memory/budget_test.go
+++ b/sidecar/memory/budget_test.go
@@ -80,3 +80,20 @@
 	group.Wait()
 	assert.Assert(t, b.Acquire(100_000), "all memory is released")
 }
+
+// It guards against one user of a budget, such as a server that sends without end, taking what is left to the others.
+func TestAPartOfABudgetLeavesTheRestToOthers(t *testing.T) {
+	whole := &memory.Budget{Bytes: 100_000}
+	part := &memory.Budget{Bytes: 60_000, Whole: whole}
+	for range 10 {
+		_, err := memory.ReadBody(endless{}, -1, 80_000, part)
+		assert.Check(t, errors.Is(err, memory.ErrExhausted), "%v", err)
+	}
+	assert.Assert(t, part.Acquire(60_000), "all memory of the part is released")
+	assert.Assert(t, !part.Acquire(1))
+	assert.Assert(t, whole.Acquire(40_000), "the rest of the whole is left to others")
+	assert.Assert(t, !whole.Acquire(1))
+	part.Release(60_000)
+	assert.Assert(t, whole.Acquire(60_000), "what the part releases is free in the whole")
+	assert.Assert(t, !part.Acquire(1), "the part has no more than the whole")
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -86,6 +86,7 @@
 	members       *member.Table
 	pacer         *bandwidth.Pacer
 	memory        *memory.Budget
+	answerMemory  *memory.Budget
 	pool          *peer.Pool
 	owner         *owner.Owner
 	departures    *departure.Book
@@ -128,6 +129,7 @@
 	s.pacer = bandwidth.NewPacer(s.Settings.LinkBits)
 	if s.Settings.MemoryBytes > 0 {
 		s.memory = &memory.Budget{Bytes: int64(bodyMemoryShare * float64(s.Settings.MemoryBytes))}
+		s.answerMemory = &memory.Budget{Bytes: int64(answersMemoryShare * float64(s.Settings.MemoryBytes)), Whole: s.memory}
 	}
 	s.pool = &peer.Pool{Pacer: s.pacer, Memory: s.memory}
 	following, stopFollowing := context.WithCancel(context.Background())
@@ -160,7 +162,10 @@
 const (
 	// bodyMemoryShare is the share of the memory of the process that bodies may take while they are read.
 	bodyMemoryShare = 0.2
-	// answerMemoryShare is the share of that memory that the body of one answer may take.
+	// answersMemoryShare is the part of bodyMemoryShare that the answers of the backend server may take together. The rest
+	// stays for clients and other daemons while a server in trouble sends without end.
+	answersMemoryShare = 0.15
+	// answerMemoryShare is the share of the memory of the process that the body of one answer may take.
 	answerMemoryShare = 0.06
 )
 
@@ -181,7 +186,7 @@
 			}
 			return 0
 		},
-		MaximumAnswerSize: int(answerMemoryShare * float64(s.Settings.MemoryBytes)), Memory: s.memory,
+		MaximumAnswerSize: int(answerMemoryShare * float64(s.Settings.MemoryBytes)), Memory: s.answerMemory,
 		OnLeave: func(server member.Server) { s.departures.Record(departure.New(server.ID, server.Born, time.Now())) },
 		OnDial:  func() { metrics.GetOrRegisterCounter("owner.dials", s.registry).Inc(1) },
 	}
