fix(memory): a refused size is not counted for a moment

Seen by callers: beside a body that is refused for its size, a small one may be refused too (503, or a broken connection between daemons), though there is room for it.

Cause: Acquire added the size, compared and took it back; another caller in between saw the budget as used up. A body that doubles its buffer at the limit does this with megabytes, so servers that send without end do it all the time.

Acquire now counts a size only if it fits, by compare-and-swap. go test -count=5 ./sidecar/memory -run TestARefusedAcquire: 5 of 5 failed before; after, 20 of 20 runs of the package pass, and 3 of 3 with -race.

--- a/sidecar/memory/budget.go
+++ b/sidecar/memory/budget.go
@@ -29,13 +29,29 @@
 	if b == nil {
 		return true
 	}
-	if b.used.Add(int64(size)) <= b.Bytes && b.Whole.Acquire(size) {
+	if !b.take(int64(size)) {
+		return false
+	}
+	if b.Whole.Acquire(size) {
 		return true
 	}
 	b.used.Add(-int64(size))
 	return false
 }
 
+// take adds to the bytes in use if they stay within the budget. A size that does not fit is at no time counted.
+func (b *Budget) take(size int64) bool {
+	for {
+		used := b.used.Load()
+		if used+size > b.Bytes {
+			return false
+		}
+		if b.used.CompareAndSwap(used, used+size) {
+			return true
+		}
+	}
+}
+
 // Release returns bytes that were acquired.
 func (b *Budget) Release(size int) {
 	if b != nil {
--- a/sidecar/memory/budget_test.go
+++ b/sidecar/memory/budget_test.go
@@ -97,3 +97,28 @@
 	assert.Assert(t, whole.Acquire(60_000), "what the part releases is free in the whole")
 	assert.Assert(t, !part.Acquire(1), "the part has no more than the whole")
 }
+
+// It guards against a body that is refused for its size making smaller ones fail beside it, though there is room for them.
+func TestARefusedAcquireDoesNotKeepOthersFromTheBudget(t *testing.T) {
+	b := &memory.Budget{Bytes: 1000}
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer close(stop)
+	for range 4 {
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					assert.Check(t, !b.Acquire(1001))
+				}
+			}
+		})
+	}
+	for range 100_000 {
+		assert.Assert(t, b.Acquire(1))
+		b.Release(1)
+	}
+}
