--- a/cmd/soak/endless_test.go
+++ b/cmd/soak/endless_test.go
@@ -229,6 +229,8 @@
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
 	for index, f := range e.faulty {
 		assert.Check(e.t, f.served.Swap(0) > 0, "%s: faulty server %d got no request", name, index)
+	}
+	for index := range faultyDaemons {
 		assert.Assert(e.t, !e.HasEnded(index), "%s: daemon %d has ended", name, index)
 		peak, err := e.PeakMemory(index)
 		assert.NilError(e.t, err)
@@ -241,6 +243,7 @@
 // It guards against daemons that keep what a faulty server sends without end, and exhaust the memory of the instance or
 // fail the requests of other clients.
 func TestServersThatSendWithoutEndDontEndTheDaemon(t *testing.T) {
+	t.Parallel()
 	binary := buildBinary(t)
 	for _, megabytes := range []int64{184, 284} {
 		t.Run(fmt.Sprint(megabytes), func(t *testing.T) {
--- a/cmd/soak/export_endless_test.go
+++ b/cmd/soak/export_endless_test.go
@@ -78,3 +78,18 @@
 	// The kernel takes 5 as the request to reset the peak of the resident size.
 	return os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", s.instances[index].process.ID()), []byte("5"), 0)
 }
+
+// StoreAddress returns the address of the store that StartStore started.
+func (s *Soak) StoreAddress() string { return s.storeAddress }
+
+// ConnectToStore makes the calls of all daemons go to the store at an address, and ends their connections to the former one.
+func (s *Soak) ConnectToStore(address string) error {
+	for _, i := range s.instances {
+		i.toStore.Stop()
+		i.toStore.Upstream = address
+		if err := i.toStore.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
