fix(daemon): bound the heads of answers of servers and daemons

Seen by callers: the older path, siskinspar daemon, keeps up to 10 MB of each answer whose head has no end, and several copies of it, until the process runs out of memory; all requests of the instance end with it.

Cause: the transports to backend servers and to other daemons, and the client of the health probes, had the default limit of net/http, 10 MB an answer. It is now 64 kB, as for the heads of requests, and twice that between daemons, which add headers.

go test ./cmd/integration -run TestAServerThatSendsWithoutEnd, a real daemon with 32 requests in flight; the design gives it 256 MB.

--- a/daemon/backends/backend.go
+++ b/daemon/backends/backend.go
@@ -58,8 +58,13 @@
 	}
 }
 
-// connectTimeout is the timeout for the set-up of a connection to a backend server.
-const connectTimeout = time.Second
+const (
+	// connectTimeout is the timeout for the set-up of a connection to a backend server.
+	connectTimeout = time.Second
+	// MaximumHeadSize bounds the heads of one answer of a backend server in bytes: its own and those of the interim answers
+	// before it.
+	MaximumHeadSize = 64 << 10
+)
 
 func newTransport(connections int) *http.Transport {
 	return &http.Transport{
@@ -69,6 +74,8 @@
 		IdleConnTimeout:       time.Minute,
 		DisableCompression:    true,
 		ExpectContinueTimeout: time.Second,
+
+		MaxResponseHeaderBytes: MaximumHeadSize,
 	}
 }
 
--- a/daemon/part/backendservers/part.go
+++ b/daemon/part/backendservers/part.go
@@ -96,7 +96,7 @@
 
 // probeHealth probes all backend servers with a health endpoint, one after the other, every probePeriod.
 func probeHealth(ctx context.Context, c *core.Core) {
-	client := &http.Client{Timeout: probeTimeout}
+	client := newProbeClient()
 	ticker := time.NewTicker(probePeriod)
 	defer ticker.Stop()
 	for {
@@ -111,6 +111,13 @@
 	}
 }
 
+// newProbeClient returns the client for health probes.
+func newProbeClient() *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = backends.MaximumHeadSize
+	return &http.Client{Timeout: probeTimeout, Transport: t}
+}
+
 // isHealthy reports whether the health endpoint answers with a status below 500.
 func isHealthy(ctx context.Context, client *http.Client, url string) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
--- a/daemon/part/callers/part.go
+++ b/daemon/part/callers/part.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"siskinspar.example/daemon/backends"
 	"siskinspar.example/daemon/core"
 	"siskinspar.example/daemon/entry"
 	"siskinspar.example/daemon/peer"
@@ -27,6 +28,9 @@
 	// sent before that answer. When the wait times out, net/http would send the body without it; an hour is
 	// declaration.MaximumTimeout, so the deadline of the request passes first.
 	continueTimeout = time.Hour
+	// maximumHeadSize bounds the head of an answer of another daemon in bytes. It leaves room for the headers that the
+	// daemon adds to those of the backend server.
+	maximumHeadSize = 2 * backends.MaximumHeadSize
 )
 
 // Part serves the listener for callers.
@@ -98,6 +102,8 @@
 		IdleConnTimeout:       time.Minute,
 		DisableCompression:    true,
 		ExpectContinueTimeout: continueTimeout,
+
+		MaxResponseHeaderBytes: maximumHeadSize,
 	}
 }
 
