fix(daemon): bound the answers to unrepeatable requests together

Seen by callers: the older path, siskinspar daemon, keeps up to 16 MB of each answer to an unrepeatable request, so that a server that sends bodies without end to many at once takes the daemon beyond its memory; all requests of the instance end with it.

Cause: each answer had a limit, all together had none. They now share the memory of three of the largest; beyond it an answer fails with 502 as one that is too large does.

--- a/cmd/integration/endless_test.go
+++ b/cmd/integration/endless_test.go
@@ -121,11 +121,15 @@
 	m.awaitMembership(1)
 	output, code := i.apply(m.writeDeclarations(standardDeclarations))
 	assert.Equal(t, code, 0, output)
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	for _, a := range []endlessAnswer{
 		{"status line", "HTTP/1.1 200 ", "x"},
 		{"header", "HTTP/1.1 200 OK\r\nX-Long: ", "x"},
 		{"headers", "HTTP/1.1 200 OK\r\n", "X-Many: value\r\n"},
 		{"interim answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"body without length", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+		{"chunks", chunked, "10\r\n0123456789abcdef\r\n"},
+		{"trailers", chunked + "0\r\n", "X-Many: value\r\n"},
 	} {
 		faulty.answer.Store(&a)
 		limited, cancel := context.WithTimeout(t.Context(), time.Second)
--- a/daemon/owner/handler.go
+++ b/daemon/owner/handler.go
@@ -16,6 +16,7 @@
 	"siskinspar.example/daemon/peer"
 	"siskinspar.example/request/forward"
 	"siskinspar.example/request/outcome"
+	"siskinspar.example/sidecar/memory"
 )
 
 // Handler serves the calls that entry daemons forward; its fields are set before use.
@@ -25,6 +26,8 @@
 	Guard    *crash.Guard
 	Limits   *Limits
 	Meter    Meter
+	// AnswerMemory bounds the answers to unrepeatable requests while they are read; nil means no limit together.
+	AnswerMemory *memory.Budget
 }
 
 // Meter counts calls by outcome.
--- a/daemon/owner/unrepeatable.go
+++ b/daemon/owner/unrepeatable.go
@@ -16,6 +16,7 @@
 	"siskinspar.example/request/claim"
 	"siskinspar.example/request/forward"
 	"siskinspar.example/request/outcome"
+	"siskinspar.example/sidecar/memory"
 )
 
 // serveAtMostOnce runs an unrepeatable request under a claim on its idempotency key. It buffers the whole body, which
@@ -31,7 +32,7 @@
 	}
 	request := claimer.Request{Intent: c.Intent, Key: r.Header.Get(outcome.HeaderKey), Method: r.Method, Target: r.URL.RequestURI(), Body: body}
 	acquireSlot := func(ctx context.Context) (func(), *outcome.Failure) { return h.acquireSlot(ctx, c, b) }
-	send := func(ctx context.Context) (*claim.Answer, *outcome.Failure) { return sendBuffered(ctx, r, body, b) }
+	send := func(ctx context.Context) (*claim.Answer, *outcome.Failure) { return h.sendBuffered(ctx, r, body, b) }
 	answer, failure := h.Claimer.Do(ctx, request, acquireSlot, send)
 	if failure != nil {
 		return failure
@@ -46,7 +47,7 @@
 }
 
 // sendBuffered sends the request to the backend server on a connection of its own, and reads the whole response.
-func sendBuffered(ctx context.Context, r *http.Request, body []byte, b *backends.Backend) (*claim.Answer, *outcome.Failure) {
+func (h *Handler) sendBuffered(ctx context.Context, r *http.Request, body []byte, b *backends.Backend) (*claim.Answer, *outcome.Failure) {
 	var isConnected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { isConnected.Store(true) }}
 	out, err := newBackendRequest(httptrace.WithClientTrace(ctx, trace), r, b.Address())
@@ -64,8 +65,8 @@
 		return nil, transportFailure(ctx, isConnected.Load())
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, claim.MaximumAnswerSize+1))
-	if err != nil || len(data) > claim.MaximumAnswerSize {
+	data, err := memory.ReadBody(response.Body, response.ContentLength, claim.MaximumAnswerSize, h.AnswerMemory)
+	if err != nil {
 		return nil, outcome.NewFailure(outcome.Unknown, outcome.ReasonBackendFailure, http.StatusBadGateway)
 	}
 	answer := &claim.Answer{Status: response.StatusCode, Header: http.Header{}, Body: data}
--- a/daemon/part/peers/part.go
+++ b/daemon/part/peers/part.go
@@ -9,8 +9,13 @@
 	"siskinspar.example/daemon/peer"
 	"siskinspar.example/daemon/settings"
 	"siskinspar.example/membership"
+	"siskinspar.example/request/claim"
+	"siskinspar.example/sidecar/memory"
 )
 
+// answerMemory bounds in bytes the answers to unrepeatable requests that are being read, three of the largest.
+const answerMemory = 3 * claim.MaximumAnswerSize
+
 // Part serves the listener for other daemons.
 type Part struct {
 	server *core.Server
@@ -46,7 +51,8 @@
 		Methods:  control.NewMethods(c.ControlNode),
 		Calls: &owner.Handler{
 			Backends: c.Backends, Claimer: c.Claimer, Guard: c.CrashGuard, Meter: core.Meter{Registry: c.Registry, Prefix: "owner"},
-			Limits: &owner.Limits{Self: membership.ID(c.Settings.Instance.Name), Configuration: c.Configuration, CandidateSource: c.Roster},
+			Limits:       &owner.Limits{Self: membership.ID(c.Settings.Instance.Name), Configuration: c.Configuration, CandidateSource: c.Roster},
+			AnswerMemory: &memory.Budget{Bytes: answerMemory},
 		},
 	}
 	p.server = &core.Server{
