fix(peer): refuse a message that claims too many elements

Seen by callers: a message of 47 bytes at the port for other daemons, whose array claims four billion elements, ends the process at once ("out of memory: cannot allocate-byte block"), and all requests at it are lost. Nothing has to be sent without end.

Each message is now measured before it is decoded: its values must be whole, and its arrays and maps together have at most 131,072 elements; the largest message lists all daemons, 21,000 in the plan.

go test ./sidecar/peer -run TestAMessageThatClaims: before, a claim of ten million elements allocated 762 MB and a million empty ones 83 MB; after, below the 64 MB of the test.

--- a/sidecar/peer/stream.go
+++ b/sidecar/peer/stream.go
@@ -45,6 +45,9 @@
 	if err != nil {
 		return err
 	}
+	if err := checkCounts(content); err != nil {
+		return err
+	}
 	s.message.Reset(content)
 	return s.decode(header)
 }
