--- a/sidecar/httpserver/server_test.go
+++ b/sidecar/httpserver/server_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"testing"
 	"time"
@@ -38,14 +41,24 @@
 
 // start runs a server of a service and returns it with its address.
 func start(t *testing.T, v *service) (*httpserver.Server, string) {
+	t.Helper()
+	return startTLS(t, v, nil)
+}
+
+// startTLS is start for a server that uses TLS unless the configuration is nil.
+func startTLS(t *testing.T, v *service, c *tls.Config) (*httpserver.Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := httpserver.New(&http.Server{Handler: v, IdleTimeout: time.Minute})
+	served := s.Listener(connection.Listener{Listener: l})
+	if c != nil {
+		served = tls.NewListener(served, c)
+	}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		assert.Check(t, s.Serve(s.Listener(connection.Listener{Listener: l})) == http.ErrServerClosed)
+		assert.Check(t, s.Serve(served) == http.ErrServerClosed)
 	}()
 	t.Cleanup(func() {
 		_ = s.Close()
@@ -66,6 +79,12 @@
 	t.Helper()
 	n, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
+	return newClient(t, n)
+}
+
+// newClient sends the first request on a connection and reads the answer.
+func newClient(t *testing.T, n net.Conn) *client {
+	t.Helper()
 	t.Cleanup(func() { _ = n.Close() })
 	assert.NilError(t, n.SetReadDeadline(time.Now().Add(answerTimeout)))
 	c := &client{t: t, Conn: n, reader: bufio.NewReader(n)}
@@ -114,13 +133,9 @@
 	return result
 }
 
-// A process with little processor time may shut down before it has read what its clients sent.
-func TestRequestsThatLieUnreadInTheSocketsAtTheShutdownAreAnswered(t *testing.T) {
-	s, address := start(t, newService())
-	clients := make([]*client, 40)
-	for i := range clients {
-		clients[i] = dial(t, address)
-	}
+// expectUnreadAnswered checks that requests are answered that lie unread when the server shuts down.
+func expectUnreadAnswered(t *testing.T, s *httpserver.Server, clients []*client) {
+	t.Helper()
 	// With one processor the server does not run between the writes and the shutdown.
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	for _, c := range clients {
@@ -136,6 +151,32 @@
 	}
 }
 
+// A process with little processor time may shut down before it has read what its clients sent.
+func TestRequestsThatLieUnreadInTheSocketsAtTheShutdownAreAnswered(t *testing.T) {
+	s, address := start(t, newService())
+	clients := make([]*client, 40)
+	for i := range clients {
+		clients[i] = dial(t, address)
+	}
+	expectUnreadAnswered(t, s, clients)
+}
+
+func TestRequestsThatLieUnreadUnderTLSAtTheShutdownAreAnswered(t *testing.T) {
+	certified := httptest.NewUnstartedServer(nil)
+	certified.StartTLS()
+	certified.Close()
+	s, address := startTLS(t, newService(), &tls.Config{Certificates: certified.TLS.Certificates})
+	roots := x509.NewCertPool()
+	roots.AddCert(certified.Certificate())
+	clients := make([]*client, 40)
+	for i := range clients {
+		n, err := tls.Dial("tcp", address, &tls.Config{RootCAs: roots})
+		assert.NilError(t, err)
+		clients[i] = newClient(t, n)
+	}
+	expectUnreadAnswered(t, s, clients)
+}
+
 func TestUnusedConnectionsAreClosedAtTheShutdown(t *testing.T) {
 	s, address := start(t, newService())
 	c := dial(t, address)
