--- a/sidecar/discovery/prober_test.go
+++ b/sidecar/discovery/prober_test.go
@@ -58,15 +58,22 @@
 func (noConfiguration) Version() route.Version { return 0 }
 func (noConfiguration) Install([]byte, string) {}
 
+// startOther starts a daemon with the service that newService returns for its address, and returns the address.
+func startOther(t *testing.T, newService func(address string) any) string {
+	t.Helper()
+	address := loopback.Address()
+	server := &peer.Server{Address: address, Service: newService(address), Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	assert.NilError(t, server.Run())
+	t.Cleanup(func() { server.Stop(0) })
+	return address
+}
+
 // startProber starts a daemon with the service that newService returns for its address, and a prober that knows it. In the order of addresses the daemon comes after
 // 600 others, of which none runs, so that no round reaches it soon.
 func startProber(t *testing.T, newService func(address string) any, state *ownState) *discovery.Prober {
 	t.Helper()
-	address := loopback.Address()
+	address := startOther(t, newService)
 	logger := slog.New(slog.NewTextHandler(io.Discard, nil))
-	server := &peer.Server{Address: address, Service: newService(address), Logger: logger}
-	assert.NilError(t, server.Run())
-	t.Cleanup(func() { server.Stop(0) })
 	members := member.NewTable()
 	members.Add(address, "a")
 	for i := range 600 {
