fix(sidecar): limit the wait for the reply to a local call that has expired

The owner checks for up to 300 ms whether the backend server has crashed if the connection to it has just broken, and the entry now waited for that past the deadline of the request. The wait is limited to 100 ms, as for the replies of other daemons; a reply that is ready then goes first.

--- a/sidecar/directory.go
+++ b/sidecar/directory.go
@@ -78,11 +78,33 @@
 		return r, true, nil
 	case <-ctx.Done():
 	}
+	var late <-chan time.Time
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		// The owner ends the call earlier, at its deadline or in Expire, and may have an answer that has arrived.
-		return <-result, true, nil
+		late = time.After(localReplyTime)
+	}
+	return lastResult(result, late, ctx.Err())
+}
+
+// localReplyTime limits the wait for the reply to a local call that has expired: after a broken connection the owner checks
+// whether the backend server has crashed, which takes longer.
+const localReplyTime = 100 * time.Millisecond
+
+// lastResult waits for a reply until late, or not at all if that is nil, and returns the error if there is none.
+func lastResult(result <-chan message.Reply, late <-chan time.Time, err error) (message.Reply, bool, error) {
+	if late != nil {
+		select {
+		case r := <-result:
+			return r, true, nil
+		case <-late:
+		}
+	}
+	select {
+	case r := <-result:
+		return r, true, nil
+	default:
+		return message.Reply{}, true, err
 	}
-	return message.Reply{}, true, ctx.Err()
 }
 
 // Resume implements entry.Owners.
--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -90,7 +90,7 @@
 }
 
 // Call runs a request in the slot that was granted to it, or in a free one, and returns the whole answer or why there
-// is none. It returns at the deadline of the request at the latest, with an answer that has arrived by then.
+// is none. The wait ends at the deadline of the request at the latest, with an answer that has arrived by then.
 func (o *Owner) Call(c message.Call) message.Reply {
 	arrived := time.Now()
 	// The timeout of the send starts only once a connection is open.
