fix(sidecar): bound the heads of calls to control and readiness

Seen by callers: nothing from one call; a backend server or a health check in trouble that opens many connections and sends heads without end takes 1 MB for each, the default of net/http, so 200 of them exceed 184 MB.

The listeners for the calls of the backend server, for readiness and for metrics now refuse a head above 64 kB with 431 and close. The body of a heartbeat was limited to 64 kB already, and other bodies are not read.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -278,7 +278,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", address)
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: requestTimeout, IdleTimeout: time.Minute}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: requestTimeout, IdleTimeout: time.Minute, MaxHeaderBytes: maximumHeadSize}
 	s.servers = append(s.servers, server)
 	go func() {
 		if err := server.Serve(l); err != http.ErrServerClosed {
@@ -288,6 +288,9 @@
 	return nil
 }
 
+// maximumHeadSize bounds the head of a call of the platform or the backend server in bytes.
+const maximumHeadSize = 64 << 10
+
 // requestTimeout bounds how long the platform or the backend server may take to send the headers of a call to the
 // daemon. It also bounds clients until a configuration is in force.
 const requestTimeout = 5 * time.Second
