fix(daemon): bound the upgrade answers and messages of peers

Seen by callers: a daemon of the older path that meets a peer in trouble keeps its answer to the upgrade, or one message, until the memory is used up; all requests of the instance end with it.

Cause: http.ReadResponse on a connection has no limit on the head, and gob reads each message whole, up to 8 GB on 64-bit machines. The answer to the upgrade is now limited to 64 kB, and a message that claims more than 32 MB ends the connection before it is read.

--- a/daemon/peer/pool.go
+++ b/daemon/peer/pool.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bufio"
 	"context"
 	"crypto/tls"
 	"net"
@@ -218,8 +217,8 @@
 	if err := request.Write(conn); err != nil {
 		return nil, err
 	}
-	reader := bufio.NewReader(conn)
-	response, err := http.ReadResponse(reader, request)
+	reader := newUpgradeReader(conn)
+	response, err := http.ReadResponse(reader.Reader, request)
 	if err != nil {
 		return nil, err
 	}
@@ -227,5 +226,5 @@
 		return nil, eris.Errorf("peer refused the upgrade to net-rpc: %s", response.Status)
 	}
 	_ = conn.SetDeadline(time.Time{})
-	return &countedConn{Conn: conn, reader: reader, traffic: p.Traffic}, nil
+	return &countedConn{Conn: conn, reader: reader.messages(), traffic: p.Traffic}, nil
 }
--- a/daemon/peer/server.go
+++ b/daemon/peer/server.go
@@ -71,7 +71,7 @@
 		_ = conn.Close()
 		return
 	}
-	s.serve(&countedConn{Conn: conn, reader: buffered, traffic: s.Traffic})
+	s.serve(&countedConn{Conn: conn, reader: &messageReader{reader: buffered.Reader}, traffic: s.Traffic})
 }
 
 func (s *Server) serve(conn net.Conn) {
