fix(daemon): bound an announcement by what a backend server sends

Seen by callers: nothing from one call; a backend server in trouble that announces itself with a body without end takes 64 MB of the daemon beside it for each call, since its requests had the bound of operators, 16 MB, and the decoder grows its buffer by doubling. The bound is now 64 kB, as at sidecar.

--- a/daemon/operator/server.go
+++ b/daemon/operator/server.go
@@ -13,8 +13,12 @@
 	"siskinspar.example/daemon/operatorapi"
 )
 
-// maximumBodySize bounds the body of a request in bytes.
-const maximumBodySize = 16 << 20
+const (
+	// maximumBodySize bounds the body of an operator's request in bytes.
+	maximumBodySize = 16 << 20
+	// maximumAnnouncementSize bounds the body of a backend server's request in bytes.
+	maximumAnnouncementSize = 64 << 10
+)
 
 // Server serves the requests of the operator listener; Core is set before use.
 type Server struct{ Core *core.Core }
@@ -44,22 +48,22 @@
 }
 
 func (s *Server) requireOperatorToken(next httprouter.Handle) httprouter.Handle {
-	return requireToken(s.Core.Settings.Operators.Token, next)
+	return requireToken(s.Core.Settings.Operators.Token, maximumBodySize, next)
 }
 
 func (s *Server) requireBackendToken(next httprouter.Handle) httprouter.Handle {
-	return requireToken(s.Core.Settings.Operators.BackendToken, next)
+	return requireToken(s.Core.Settings.Operators.BackendToken, maximumAnnouncementSize, next)
 }
 
-// requireToken answers 401 to requests without the bearer token and bounds the body of the others.
-func requireToken(token string, next httprouter.Handle) httprouter.Handle {
+// requireToken answers 401 to requests without the bearer token and bounds the body of the others, in bytes.
+func requireToken(token string, size int64, next httprouter.Handle) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 		given := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
 		if subtle.ConstantTimeCompare([]byte(given), []byte(token)) != 1 {
 			writeProblem(w, http.StatusUnauthorized, "token is missing or wrong")
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, maximumBodySize)
+		r.Body = http.MaxBytesReader(w, r.Body, size)
 		next(w, r, p)
 	}
 }
