--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -280,7 +280,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", address)
 	}
-	server := httpserver.New(&http.Server{Handler: h, ReadHeaderTimeout: requestTimeout, IdleTimeout: time.Minute})
+	server := httpserver.New(&http.Server{Handler: h, ReadHeaderTimeout: requestTimeout, IdleTimeout: time.Minute, MaxHeaderBytes: maximumHeadSize})
 	s.servers = append(s.servers, server)
 	l = server.Listener(connection.Listener{Listener: l})
 	go func() {
@@ -291,6 +291,9 @@
 	return nil
 }
 
+// maximumHeadSize bounds the head of a call of the platform or the backend server in bytes.
+const maximumHeadSize = 64 << 10
+
 // requestTimeout bounds how long the platform or the backend server may take to send the headers of a call to the
 // daemon. It also bounds clients until a configuration is in force.
 const requestTimeout = 5 * time.Second
