feat(soak): find lost requests around planned work

Cause: the soak did not see the lost request of docs/incidents/lost-at-the-drain.md. Its clients used net/http, which stops using a connection when it sees a close coming; it stopped one daemon at a time, with processor time at hand; and it did not check LOST at all.

Series of planned work: overlapping SIGTERMs, also without processor time around the signal, twice, or with a SIGHUP or a configuration under way. SIGTERM, SIGHUP and configurations excuse nothing.

--- a/cmd/soak/checker.go
+++ b/cmd/soak/checker.go
@@ -26,7 +26,7 @@
 type Checker struct {
 	mu         sync.Mutex
 	sent       map[string]sentRequest // by request ID
-	executions map[string]int         // number of executions by request ID
+	executions map[string][]string    // the backend servers that ran a request, by request ID
 	refused    map[string]bool        // requests whose answer said that they did not run, by request ID
 	draining   map[string]time.Time   // when a daemon acknowledged that the server is draining, by backend server ID
 	keys       map[string]keyPeriod   // by key
@@ -36,13 +36,18 @@
 	failed     int               // all other requests without an organisation
 	statuses   map[int]int       // number of requests on private routes by the status of their answer, 0 for none
 	recent     map[string][]bool // whether each request since startRecoveryWindow was answered with 200, by organisation
+	losses     []loss
+	brokenOff  map[string]bool // requests at which a backend server ended the connection, by request ID
+	// disruptions holds the disruptions by the name of the instance.
+	disruptions map[string][]*disruption
 }
 
 // NewChecker returns a checker without requests.
 func NewChecker() *Checker {
 	return &Checker{
-		sent: map[string]sentRequest{}, executions: map[string]int{}, refused: map[string]bool{}, draining: map[string]time.Time{},
+		sent: map[string]sentRequest{}, executions: map[string][]string{}, refused: map[string]bool{}, draining: map[string]time.Time{},
 		keys: map[string]keyPeriod{}, runs: map[string][]run{}, statuses: map[int]int{}, recent: map[string][]bool{},
+		brokenOff: map[string]bool{}, disruptions: map[string][]*disruption{},
 	}
 }
 
@@ -73,9 +78,9 @@
 		c.addViolation("request %s ran for the caller %q instead of %q", e.ID, e.Caller, s.service)
 	}
 	c.checkIdentity(s, e)
-	c.executions[e.ID]++
-	if !s.isRepeatable && c.executions[e.ID] > 1 {
-		c.addViolation("unrepeatable request %s ran %d times", e.ID, c.executions[e.ID])
+	c.executions[e.ID] = append(c.executions[e.ID], e.Server)
+	if !s.isRepeatable && len(c.executions[e.ID]) > 1 {
+		c.addViolation("unrepeatable request %s ran %d times", e.ID, len(c.executions[e.ID]))
 	}
 	if c.refused[e.ID] {
 		c.addViolation("request %s ran after it was refused as not run", e.ID)
@@ -111,7 +116,7 @@
 		c.addViolation("request %s got a 200 that does not belong to it: %q", id, body)
 	case status == 503 || status == 429 || status == 408 || status == 421 || status == 401:
 		c.refused[id] = true
-		if !s.isRepeatable && c.executions[id] > 0 {
+		if !s.isRepeatable && len(c.executions[id]) > 0 {
 			c.addViolation("unrepeatable request %s was refused with %d although it had run", id, status)
 		}
 	case status == 404 || status == 400:
--- a/cmd/soak/checker_test.go
+++ b/cmd/soak/checker_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -45,6 +46,83 @@
 	}
 }
 
+func TestCheckerFindsEachLostRequest(t *testing.T) {
+	sent := time.Now()
+	execution := application.Execution{ID: "w", Server: "i1-2", Method: "POST", Target: "/w", Caller: "desk", At: sent}
+	run := func(k *Checker) { k.RecordExecution(execution) }
+	late := lossSlack + time.Millisecond
+	disrupt := func(instance string, began, ended time.Duration) func(k *Checker) {
+		return func(k *Checker) {
+			k.disruptions[instance] = []*disruption{{began: sent.Add(began), ended: sent.Add(ended)}}
+		}
+	}
+	for _, c := range []struct {
+		name     string
+		record   func(k *Checker)
+		after    time.Duration // from the last byte of the request to the end of its connection
+		isBehind bool
+		isLost   bool
+	}{
+		{"closed late", nil, late, false, true},
+		{"crossed the close", nil, lossSlack, false, false},
+		{"passed on and closed at once", run, 0, false, true},
+		{"behind another request", nil, late, true, false},
+		{"behind another request and passed on", run, 0, true, true},
+		{"backend server broke off", func(k *Checker) { run(k); k.recordBreakOff("w") }, late, false, false},
+		{"backend server broke off another request", func(k *Checker) { run(k); k.recordBreakOff("x") }, late, false, true},
+		{"just before the timeout", nil, shortestTimeout - time.Millisecond, false, true},
+		{"timeout reached", run, shortestTimeout, false, false},
+		{"disruption before the request", disrupt("i0", -time.Hour, -disruptionReach), late, false, false},
+		{"disruption long before the request", disrupt("i0", -time.Hour, -disruptionReach-time.Millisecond), late, false, true},
+		{"disruption until the close", disrupt("i0", late, time.Hour), late, false, false},
+		{"disruption after the close", disrupt("i0", late+time.Millisecond, time.Hour), late, false, true},
+		{"disruption that lasts", func(k *Checker) { k.disrupt("i0") }, late, false, false},
+		{"disruption at another instance", disrupt("i1", 0, 0), late, false, true},
+		{"disruption at the instance of the server", func(k *Checker) { run(k); disrupt("i1", 0, 0)(k) }, late, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			k := NewChecker()
+			k.recordSent(sentRequest{id: "w", method: "POST", target: "/w", service: "desk", at: sent})
+			if c.record != nil {
+				c.record(k)
+			}
+			k.recordLoss(loss{id: "w", instance: "i0", sent: sent, written: sent, ended: sent.Add(c.after), isBehind: c.isBehind})
+			k.checkLosses()
+			assert.Equal(t, len(k.Violations()) > 0, c.isLost, "%v", k.Violations())
+		})
+	}
+}
+
+// It guards against a fault that excuses lost requests for the rest of the run.
+func TestADisruptionEndsWithItsFault(t *testing.T) {
+	k := NewChecker()
+	end := k.disrupt("i0")
+	assert.Assert(t, k.disruptions["i0"][0].ended.IsZero())
+	end()
+	assert.Assert(t, !k.disruptions["i0"][0].ended.IsZero())
+}
+
+func TestCheckerFindsADaemonThatEndsByItself(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		last       syscall.Signal
+		exitCode   int
+		violations int
+	}{
+		{"killed", syscall.SIGKILL, -1, 0},
+		{"stopped", syscall.SIGTERM, 0, 0},
+		{"failed while it stopped", syscall.SIGTERM, 2, 1},
+		{"ended without a signal", 0, 0, 1},
+		{"panicked", 0, 2, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			k := NewChecker()
+			k.checkEnd("i0", c.last, c.exitCode)
+			assert.Equal(t, len(k.Violations()), c.violations, "%v", k.Violations())
+		})
+	}
+}
+
 // recordFlood records count requests of one organisation and one execution of each, one every interval.
 func recordFlood(k *Checker, count int, interval time.Duration, began time.Time) {
 	for n := range count {
--- a/cmd/soak/fault.go
+++ b/cmd/soak/fault.go
@@ -38,7 +38,8 @@
 		{"link to the store", onInstance(func(ctx context.Context, _ *Soak, i *instance, r *rand.Rand) error {
 			return addToxic(ctx, i.toStore, r)
 		})},
-		{"link to the server", onInstance(func(ctx context.Context, _ *Soak, i *instance, r *rand.Rand) error {
+		{"link to the server", onInstance(func(ctx context.Context, s *Soak, i *instance, r *rand.Rand) error {
+			defer s.checker.disrupt(i.name)()
 			return addToxic(ctx, i.toServer, r)
 		})},
 		{"store restored from a copy", restoreStore},
@@ -64,7 +65,8 @@
 func pause(r *rand.Rand, longest time.Duration) { time.Sleep(time.Duration(r.Int64N(int64(longest)))) }
 
 // kill kills the daemon with SIGKILL and starts it again within 2 s.
-func kill(_ context.Context, _ *Soak, i *instance, r *rand.Rand) error {
+func kill(_ context.Context, s *Soak, i *instance, r *rand.Rand) error {
+	defer s.checker.disrupt(i.name)()
 	i.process.Kill()
 	pause(r, 2*time.Second)
 	return i.start()
@@ -76,6 +78,7 @@
 	for range len(s.instances) / 2 {
 		if i, ok := s.acquire(r); ok {
 			killed = append(killed, i)
+			defer s.checker.disrupt(i.name)()
 			i.process.Signal(syscall.SIGKILL)
 		}
 	}
@@ -102,6 +105,9 @@
 	if err != nil {
 		return err
 	}
+	for _, i := range s.instances {
+		defer s.checker.disrupt(i.name)()
+	}
 	acknowledged, err := leaving.server.Leave(ctx)
 	if err == nil {
 		s.checker.recordDraining(leaving.server.ID, acknowledged)
@@ -116,23 +122,12 @@
 	_ = sendLate(ctx)
 	time.Sleep(drainTime)
 	leaving.server.Crash()
-	return leaving.startServer(s.checker, 0)
-}
-
-// restart stops the daemon with SIGTERM and starts it again; it returns an error if the daemon outlives graceTime.
-func restart(_ context.Context, _ *Soak, i *instance, _ *rand.Rand) error {
-	i.process.Signal(syscall.SIGTERM)
-	select {
-	case <-i.process.Done():
-	case <-time.After(graceTime):
-		i.process.Kill()
-		return eris.Errorf("%s did not exit within its grace time after SIGTERM", i.name)
-	}
-	return i.start()
+	return leaving.startServer(0)
 }
 
 // freeze suspends the daemon with SIGSTOP for up to 3 s.
-func freeze(_ context.Context, _ *Soak, i *instance, r *rand.Rand) error {
+func freeze(_ context.Context, s *Soak, i *instance, r *rand.Rand) error {
+	defer s.checker.disrupt(i.name)()
 	i.process.Signal(syscall.SIGSTOP)
 	pause(r, 3*time.Second)
 	i.process.Signal(syscall.SIGCONT)
@@ -202,15 +197,16 @@
 	time.Sleep(drainTime + serverProcessingTime)
 	pause(r, time.Second)
 	i.server.Crash()
-	return i.startServer(s.checker, 0)
+	return i.startServer(0)
 }
 
 // crashServer ends the backend server without a drain and starts its next incarnation, which may break the connection
 // of every 20th or 40th request.
 func crashServer(_ context.Context, s *Soak, i *instance, r *rand.Rand) error {
+	defer s.checker.disrupt(i.name)()
 	i.server.Crash()
 	pause(r, 2*time.Second)
-	return i.startServer(s.checker, r.IntN(3)*20)
+	return i.startServer(r.IntN(3) * 20)
 }
 
 // addToxic adds one random toxic to a proxied link for up to 3 s: latency, silence, a connection closed after 50 ms or
--- a/cmd/soak/instance.go
+++ b/cmd/soak/instance.go
@@ -5,6 +5,8 @@
 	"io"
 	"os"
 	"path/filepath"
+	"sync/atomic"
+	"syscall"
 
 	"github.com/Shopify/toxiproxy"
 	"github.com/rotisserie/eris"
@@ -48,11 +50,13 @@
 type instance struct {
 	name, zone, service, host string
 	directory, binary         string
-	process                   *child.Child
-	isStopped                 bool
-	server                    *application.Server
-	toServer, toStore         *toxiproxy.Proxy
-	incarnation               int // number of the present incarnation of the backend server, from 1
+	// environment holds variables of the daemon's environment.
+	environment       []string
+	process           *daemonProcess
+	checker           *Checker
+	server            *application.Server
+	toServer, toStore *toxiproxy.Proxy
+	incarnation       int // number of the present incarnation of the backend server, from 1
 }
 
 // address returns the address of one of the ports of the instance.
@@ -78,20 +82,42 @@
 	return p, eris.Wrapf(p.Start(), "start proxy %s", name)
 }
 
+// daemonProcess is one run of a daemon, with the last signal that was meant to end it.
+type daemonProcess struct {
+	child.Child
+	last atomic.Int32
+}
+
+// Signal sends a signal to the process.
+func (p *daemonProcess) Signal(s syscall.Signal) {
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+		p.last.Store(int32(s))
+	}
+	p.Child.Signal(s)
+}
+
+// Kill ends the process with SIGKILL and waits for its end.
+func (p *daemonProcess) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.Done()
+}
+
 // start starts the daemon process and appends its output to the log file of the instance.
 func (i *instance) start() error {
 	log, err := os.OpenFile(filepath.Join(i.directory, i.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return eris.Wrap(err, "open the log")
 	}
-	i.process = &child.Child{Path: i.binary, Arguments: []string{"sidecar", "--settings", i.settingsPath()}, Ready: "daemon: started", Output: log}
-	i.isStopped = false
+	i.process = &daemonProcess{Child: child.Child{
+		Path: i.binary, Arguments: []string{"sidecar", "--settings", i.settingsPath()}, Environment: i.environment, Ready: "daemon: started", Output: log,
+	}}
 	if err := i.process.Run(); err != nil {
 		return err
 	}
 	process := i.process
 	go func() {
 		<-process.Done()
+		i.checker.checkEnd(i.name, syscall.Signal(process.last.Load()), process.ExitCode())
 		// The error is ignored: what is lost is the end of a log.
 		_ = log.Close()
 	}()
@@ -100,11 +126,12 @@
 
 // startServer starts the next incarnation of the backend server, which breaks the connection of each n-th request that
 // it has run, where n is failEvery; 0 never does.
-func (i *instance) startServer(o application.Observer, failEvery int) error {
+func (i *instance) startServer(failEvery int) error {
 	i.incarnation++
 	i.server = &application.Server{
-		ID: fmt.Sprintf("%s-%d", i.name, i.incarnation), Service: i.service, Address: i.address(portServer), AdvertisedAddress: i.address(portToServer),
-		DaemonAddress: i.address(portControl), DataCentre: i.zone, Slots: serverSlots, ProcessingTime: serverProcessingTime, Heartbeat: heartbeat, Observer: o, FailEvery: failEvery,
+		ID: serverID(i.name, i.incarnation), Service: i.service, Address: i.address(portServer), AdvertisedAddress: i.address(portToServer),
+		DaemonAddress: i.address(portControl), DataCentre: i.zone, Slots: serverSlots, ProcessingTime: serverProcessingTime, Heartbeat: heartbeat, Observer: i.checker, FailEvery: failEvery,
+		OnBreakOff: i.checker.recordBreakOff,
 	}
 	return i.server.Start()
 }
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 
 	"siskinspar.example/standin/loopback"
 	"siskinspar.example/standin/platform"
@@ -37,6 +38,11 @@
 	recoveryWindow = 2 * time.Second
 	// readyTimeout bounds the time until all daemons are ready.
 	readyTimeout = 20 * time.Second
+	// instancesAtFullRate is the number of instances up to which a client pauses for clientPause.
+	instancesAtFullRate = 20
+	// instancesPerSeries is the number of instances for which there is one series of planned work, up to mostPlannedSeries.
+	instancesPerSeries = 3
+	mostPlannedSeries  = 4
 	// hostName is the Host header of all requests; configurationTemplate routes it.
 	hostName = "soak.example"
 	// clientsPerInstance is the number of clients without an organisation of each daemon.
@@ -51,6 +57,8 @@
 	Span time.Duration
 	// Instances is the number of daemon processes, 2 to 200.
 	Instances int
+	// IsPlannedOnly leaves out all faults but planned work.
+	IsPlannedOnly bool
 	// Binary is the path of the siskinspar binary that the daemons run.
 	Binary string
 	// Directory holds the settings file and the log of each daemon.
@@ -106,6 +114,7 @@
 // else an error if there are violations.
 func (s *Soak) report(faultErr error) error {
 	s.checkQuotas()
+	fmt.Fprintf(s.Out, "seed %d: requests without a whole answer by excuse: %v\n", s.Seed, s.checker.checkLosses())
 	violations := s.checker.Violations()
 	fmt.Fprintf(s.Out, "seed %d: %d answered, %d not, %d promises broken\n", s.Seed, s.checker.answered, s.checker.failed, len(violations))
 	for _, v := range violations {
@@ -120,30 +129,30 @@
 	return nil
 }
 
-// injectFaults injects faults for Span in two concurrent series, so that faults overlap.
+// injectFaults injects faults for Span in concurrent series, so that faults overlap: two of any fault, unless
+// IsPlannedOnly is set, and some of planned work.
 func (s *Soak) injectFaults(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, s.Span)
 	defer cancel()
-	const seriesCount = 2
-	errs := make([]error, seriesCount)
-	var group conc.WaitGroup
-	for n := range seriesCount {
-		group.Go(func() { errs[n] = s.injectSeries(limited, rand.New(rand.NewPCG(s.Seed, uint64(n)))) })
+	series := [][]fault{faults(), faults()}
+	if s.IsPlannedOnly {
+		series = nil
 	}
-	group.Wait()
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
+	for range min(mostPlannedSeries, (s.Instances+instancesPerSeries-1)/instancesPerSeries) {
+		series = append(series, plannedFaults())
 	}
-	return nil
+	group := pool.New().WithErrors()
+	for n, f := range series {
+		group.Go(func() error { return s.injectSeries(limited, f, rand.New(rand.NewPCG(s.Seed, uint64(n)))) })
+	}
+	return group.Wait()
 }
 
-// injectSeries injects random faults one after the other until the context ends; a fault in progress is completed.
-func (s *Soak) injectSeries(ctx context.Context, r *rand.Rand) error {
-	all := faults()
+// injectSeries injects random faults of a list one after the other until the context ends; a fault in progress is
+// completed.
+func (s *Soak) injectSeries(ctx context.Context, faults []fault, r *rand.Rand) error {
 	for ctx.Err() == nil {
-		f := all[r.IntN(len(all))]
+		f := faults[r.IntN(len(faults))]
 		fmt.Fprintf(s.Out, "seed %d: %s %s\n", s.Seed, time.Now().Format(time.TimeOnly), f.name)
 		if err := f.inject(context.WithoutCancel(ctx), s, r); err != nil {
 			return eris.Wrapf(err, "inject fault %q", f.name)
@@ -250,11 +259,15 @@
 	return nil
 }
 
-// startInstance starts the proxies, the daemon and the backend server of the n-th instance.
+// startInstance starts the proxies, the daemon and the backend server of the n-th instance. Every second daemon uses one
+// processor only: it learns of a signal before it reads what has arrived in its sockets.
 func (s *Soak) startInstance(n int) error {
 	i := &instance{
 		name: fmt.Sprintf("i%d", n), zone: fmt.Sprintf("zone-%d", n%3), service: "desk", host: loopback.Host(),
-		directory: s.Directory, binary: s.Binary,
+		directory: s.Directory, binary: s.Binary, checker: s.checker,
+	}
+	if n%2 == 1 {
+		i.environment = []string{"GOMAXPROCS=1"}
 	}
 	var err error
 	if i.toStore, err = newProxy("store", i.address(portToStore), s.storeAddress); err != nil {
@@ -270,7 +283,7 @@
 	if err := i.start(); err != nil {
 		return err
 	}
-	return i.startServer(s.checker, 0)
+	return i.startServer(0)
 }
 
 // stop ends every process that this soak started.
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -20,9 +20,23 @@
 	return binary
 }
 
-// TestShortSoakFindsNoViolation runs a short soak with real daemon processes. A seed that ever failed is added here
-// with its cause.
+// TestShortSoakFindsNoViolation runs short soaks with real daemon processes. A seed that ever failed is added here with its
+// cause.
 func TestShortSoakFindsNoViolation(t *testing.T) {
-	s := &soak.Soak{Seed: 1, Span: 5 * time.Second, Instances: 4, Binary: buildBinary(t), Directory: t.TempDir(), Out: t.Output()}
-	assert.NilError(t, s.Run(t.Context()))
+	binary := buildBinary(t)
+	for _, c := range []struct {
+		name          string
+		seed          uint64
+		span          time.Duration
+		isPlannedOnly bool
+	}{
+		{"any faults", 1, 5 * time.Second, false},
+		// Requests that lay unread in the sockets of a daemon when its drain began got no answer.
+		{"planned work", 7, 8 * time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &soak.Soak{Seed: c.seed, Span: c.span, IsPlannedOnly: c.isPlannedOnly, Instances: 4, Binary: binary, Directory: t.TempDir(), Out: t.Output()}
+			assert.NilError(t, s.Run(t.Context()))
+		})
+	}
 }
--- a/cmd/trial/soak.go
+++ b/cmd/trial/soak.go
@@ -22,6 +22,7 @@
 			&cli.IntFlag{Name: "seeds", Usage: "`NUMBER` of seeds to run, one after the other", Value: 1},
 			&cli.IntFlag{Name: "instances", Usage: "`NUMBER` of daemon processes", Value: 5},
 			&cli.DurationFlag{Name: "span", Usage: "`TIME` for which each seed injects faults", Value: 15 * time.Second},
+			&cli.BoolFlag{Name: "planned", Usage: "only planned work: stops, restarts, hangups, configurations, replaced servers"},
 			&cli.StringFlag{Name: "directory", Usage: "`DIRECTORY` for settings and logs, a new one if empty"},
 		},
 		Action: runSoak,
@@ -46,7 +47,7 @@
 		}
 		s := &soak.Soak{
 			Seed: c.Uint64("seed") + uint64(k), Span: c.Duration("span"), Instances: c.Int("instances"),
-			Binary: binary, Directory: directory, Out: c.Root().Writer,
+			IsPlannedOnly: c.Bool("planned"), Binary: binary, Directory: directory, Out: c.Root().Writer,
 		}
 		if err := s.Run(ctx); err != nil {
 			return err
--- a/standin/application/server.go
+++ b/standin/application/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -64,6 +65,9 @@
 	// FailEvery makes the server close the connection of each n-th request after its processing time, without an
 	// answer; 0 means never.
 	FailEvery int
+	// OnBreakOff is called with the ID of each request that the server ends without an answer, because of FailEvery or
+	// Crash; nil if nobody needs to know.
+	OnBreakOff func(id string)
 
 	mu sync.Mutex
 	// running is the number of requests that run now.
@@ -72,6 +76,7 @@
 	begun          int
 	sequence       uint64
 	born           int64
+	isCrashed      atomic.Bool
 	http           *http.Server
 	stopHeartbeats context.CancelFunc
 	heartbeatsDone chan struct{}
@@ -98,6 +103,7 @@
 
 // Crash stops the heartbeats and closes the listener and all connections without telling the daemon.
 func (s *Server) Crash() {
+	s.isCrashed.Store(true)
 	s.stopHeartbeats()
 	// The error is ignored, since the connections are meant to break.
 	_ = s.http.Close()
@@ -129,10 +135,15 @@
 	}
 	defer s.releaseSlot()
 	s.Observer.RecordExecution(Execution{ID: id, Server: s.ID, Method: r.Method, Target: r.RequestURI, Body: string(body), Caller: r.Header.Get("Caller-Service"), Header: r.Header, At: time.Now()})
-	if !s.simulateProcessing(r) {
+	isConnected := s.simulateProcessing(r)
+	isFailed := s.FailEvery > 0 && ordinal%s.FailEvery == 0
+	if (isFailed || s.isCrashed.Load()) && s.OnBreakOff != nil {
+		s.OnBreakOff(id)
+	}
+	if !isConnected {
 		return
 	}
-	if s.FailEvery > 0 && ordinal%s.FailEvery == 0 {
+	if isFailed {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Server-Stamp", s.ID+"."+id)
--- a/standin/child/child.go
+++ b/standin/child/child.go
@@ -22,6 +22,8 @@
 	// Path is the program, Arguments are its arguments.
 	Path      string
 	Arguments []string
+	// Environment holds variables as NAME=value, beside those of this process.
+	Environment []string
 	// Ready is a text of which the output of the process holds one once it serves; empty means that it need not say so.
 	Ready string
 	// Output gets the output of the process too; nil means that only the child keeps it.
@@ -37,6 +39,7 @@
 func (c *Child) Run() error {
 	c.command = exec.Command(c.Path, c.Arguments...)
 	c.output.mark, c.output.copy, c.output.marked = c.Ready, c.Output, make(chan struct{})
+	c.command.Env = append(os.Environ(), c.Environment...)
 	c.command.Stdout = &c.output
 	c.command.Stderr = &c.output
 	if err := start(c.command); err != nil {
