--- a/sidecar/upstream/client.go
+++ b/sidecar/upstream/client.go
@@ -95,7 +95,8 @@
 // Send sends a request at most once and returns the whole answer. A request without an ID gets a new connection, since
 // nothing would distinguish its answer from a late one to an earlier request, and so does one with an ID that was refused
 // or failed before: the server may write that answer once more. It waits for the answer until the context ends or the
-// timeout, which starts when the connection is open, has passed.
+// timeout, which starts when the connection is open, has passed. If the cause of the end is context.DeadlineExceeded, an
+// answer that has arrived is still read.
 func (c *Client) Send(ctx context.Context, q message.Request, header http.Header, timeout time.Duration) Result {
 	id := header.Get(c.IDHeader)
 	n, err := c.acquire(ctx, id != "" && !c.hasFailed(id))
@@ -141,7 +142,7 @@
 		select {
 		case err := <-written:
 			if err != nil {
-				return n.lastAnswer(err)
+				return n.arrivedAnswer(err)
 			}
 			isWritten = true
 			written = nil
@@ -151,13 +152,34 @@
 		case <-n.broken:
 			return n.lastAnswer(eris.New("the connection ended"))
 		case <-expired:
-			return answer{}, context.DeadlineExceeded
+			return n.arrivedAnswer(context.DeadlineExceeded)
 		case <-ctx.Done():
-			return answer{}, ctx.Err()
+			if cause := context.Cause(ctx); errors.Is(cause, context.DeadlineExceeded) {
+				return n.arrivedAnswer(cause)
+			}
+			return n.wholeAnswer(ctx.Err())
 		}
 	}
 }
 
+// arrivedAnswer returns the answer if all of it has arrived, whether it is read yet or not, and otherwise the error. The
+// connection is not used again.
+func (n *conn) arrivedAnswer(err error) (answer, error) {
+	// Ends the reading once nothing more lies in the socket. If the deadline can't be set, the connection has ended.
+	_ = n.SetReadDeadline(time.Now())
+	<-n.broken
+	return n.wholeAnswer(err)
+}
+
+// wholeAnswer returns the answer that was read, or the error if there is none or reading it failed.
+func (n *conn) wholeAnswer(err error) (answer, error) {
+	a, missing := n.lastAnswer(err)
+	if a.err != nil {
+		return answer{}, err
+	}
+	return a, missing
+}
+
 // isWriteComplete reports whether a write succeeds within writeGrace. The write may return after the answer is read.
 func isWriteComplete(written <-chan error) bool {
 	timer := time.NewTimer(writeGrace)
