--- a/cmd/soak/connection.go
+++ b/cmd/soak/connection.go
@@ -104,15 +104,21 @@
 	return isOpen && err == nil
 }
 
-// encode returns the next requests and their bytes on the wire. Only repeatable requests are pipelined.
-func (c *connectionClient) encode() ([]sentRequest, []byte, error) {
-	requests := []sentRequest{c.nextOfEither()}
-	if c.isPipelined {
-		requests = nil
-		for range 2 + c.random.IntN(longestPipeline-1) {
-			requests = append(requests, c.next(true))
-		}
+// nextBatch returns the requests that are sent at once. Only repeatable requests are pipelined.
+func (c *connectionClient) nextBatch() []sentRequest {
+	if !c.isPipelined {
+		return []sentRequest{c.nextOfEither()}
+	}
+	requests := make([]sentRequest, 2+c.random.IntN(longestPipeline-1))
+	for n := range requests {
+		requests[n] = c.next(true)
 	}
+	return requests
+}
+
+// encode returns the next requests and their bytes on the wire.
+func (c *connectionClient) encode() ([]sentRequest, []byte, error) {
+	requests := c.nextBatch()
 	var content bytes.Buffer
 	for _, s := range requests {
 		r, err := c.build(s)
