feat(soak): find requests that a stopping daemon answers in place of the server

Cause: the rule LOST holds also for a request at which a backend server is at work and that the daemon, after its SIGTERM, breaks off and answers itself. The soak saw such a 502 or 504 as any failure.

Change: a 502 or 504 without the stamp of a server is judged with the same excuses as a closed connection, if the request ran and the daemon of its client had got SIGTERM.

--- a/cmd/soak/checker.go
+++ b/cmd/soak/checker.go
@@ -40,6 +40,8 @@
 	brokenOff  map[string]bool // requests at which a backend server ended the connection, by request ID
 	// disruptions holds the disruptions by the name of the instance.
 	disruptions map[string][]*disruption
+	// terminations holds when a daemon got SIGTERM, by the name of the instance.
+	terminations map[string][]time.Time
 }
 
 // NewChecker returns a checker without requests.
@@ -47,7 +49,7 @@
 	return &Checker{
 		sent: map[string]sentRequest{}, executions: map[string][]string{}, refused: map[string]bool{}, draining: map[string]time.Time{},
 		keys: map[string]keyPeriod{}, runs: map[string][]run{}, statuses: map[int]int{}, recent: map[string][]bool{},
-		brokenOff: map[string]bool{}, disruptions: map[string][]*disruption{},
+		brokenOff: map[string]bool{}, disruptions: map[string][]*disruption{}, terminations: map[string][]time.Time{},
 	}
 }
 
--- a/cmd/soak/checker_test.go
+++ b/cmd/soak/checker_test.go
@@ -93,6 +93,34 @@
 	}
 }
 
+// It guards against a daemon that breaks off requests when it stops and answers them itself.
+func TestCheckerFindsRequestsThatAStoppingDaemonAnswersItself(t *testing.T) {
+	sent := time.Now()
+	for _, c := range []struct {
+		name       string
+		stopped    time.Duration // from SIGTERM to the request
+		wasRun     bool
+		violations int
+	}{
+		{"run and answered while it stops", time.Second, true, 1},
+		{"not run", time.Second, false, 0},
+		{"answered before it stops", -time.Hour, true, 0},
+		{"answered long after a stop", time.Hour, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			k := NewChecker()
+			k.recordSent(sentRequest{id: "w", at: sent})
+			k.terminations["i0"] = []time.Time{sent.Add(-c.stopped)}
+			if c.wasRun {
+				k.RecordExecution(application.Execution{ID: "w", Server: "i1-2", At: sent})
+			}
+			k.recordLoss(loss{id: "w", instance: "i0", sent: sent, written: sent, ended: sent, status: http.StatusBadGateway})
+			k.checkLosses()
+			assert.Equal(t, len(k.Violations()), c.violations, "%v", k.Violations())
+		})
+	}
+}
+
 // It guards against a fault that excuses lost requests for the rest of the run.
 func TestADisruptionEndsWithItsFault(t *testing.T) {
 	k := NewChecker()
--- a/cmd/soak/connection.go
+++ b/cmd/soak/connection.go
@@ -99,7 +99,13 @@
 		}
 	}
 	for n, s := range requests[answered:] {
-		c.recordUnanswered(s, err, loss{instance: c.instance.name, written: written, ended: time.Now(), isBehind: answered+n > 0})
+		c.checker.recordNoAnswer(s.id)
+		// A client that has given up has not lost its request.
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.checker.recordLoss(loss{
+				id: s.id, instance: c.instance.name, sent: s.at, written: written, ended: time.Now(), isBehind: answered+n > 0, cause: err,
+			})
+		}
 	}
 	return isOpen && err == nil
 }
@@ -146,15 +152,10 @@
 	if err != nil {
 		return false, err
 	}
-	c.checker.checkAnswer(s.id, response.StatusCode, response.Header.Get("Server-Stamp"), string(body))
-	return !response.Close, nil
-}
-
-// recordUnanswered records a request without a whole answer. It is lost unless the client itself has given up.
-func (c *connectionClient) recordUnanswered(s sentRequest, cause error, l loss) {
-	c.checker.recordNoAnswer(s.id)
-	if !errors.Is(cause, os.ErrDeadlineExceeded) {
-		l.id, l.sent, l.cause = s.id, s.at, cause
-		c.checker.recordLoss(l)
+	status, stamp := response.StatusCode, response.Header.Get("Server-Stamp")
+	c.checker.checkAnswer(s.id, status, stamp, string(body))
+	if stamp == "" && (status == http.StatusBadGateway || status == http.StatusGatewayTimeout) {
+		c.checker.recordLoss(loss{id: s.id, instance: c.instance.name, sent: s.at, written: s.at, ended: time.Now(), status: status})
 	}
+	return !response.Close, nil
 }
--- a/cmd/soak/loss.go
+++ b/cmd/soak/loss.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -18,17 +19,20 @@
 	shortestTimeout = time.Second
 )
 
-// loss is a whole request whose connection ended without a whole answer. It is a violation unless it is excused.
+// loss is a whole request whose connection ended without a whole answer, or that the daemon itself answered with status
+// 502 or 504 after its SIGTERM. It is a violation unless it is excused.
 type loss struct {
 	id string
 	// instance is the name of the instance to which the request was sent.
 	instance string
 	// sent is the time right before the request was sent, written the time right after its last byte was sent, and ended
-	// the time at which the client saw the end of the connection.
+	// the time at which the client saw the end of the connection or the answer.
 	sent, written, ended time.Time
 	// isBehind is true if the request was sent behind another one that had no answer yet.
 	isBehind bool
-	// cause is how the connection ended, or nil if an answer before had said that it closes.
+	// status is that of the daemon's own answer, or 0 if there is none.
+	status int
+	// cause is how the connection ended, or nil if it did not or an answer before had said that it closes.
 	cause error
 }
 
@@ -74,8 +78,8 @@
 		excuse := c.excuse(l)
 		excuses[excuse]++
 		if excuse == "" {
-			c.addViolation("request %s was lost at %s: sent at %s, its connection ended %v later (%v); run by %v",
-				l.id, l.instance, l.written.Format(clockFormat), l.ended.Sub(l.written), l.cause, c.executions[l.id])
+			c.addViolation("request %s was lost at %s: sent at %s, ended %v later with status %d (%v); run by %v",
+				l.id, l.instance, l.written.Format(clockFormat), l.ended.Sub(l.written), l.status, l.cause, c.executions[l.id])
 		}
 	}
 	return excuses
@@ -91,6 +95,10 @@
 		return "timeout reached"
 	case l.isBehind && !wasPassedOn:
 		return "behind another request and not passed on"
+	case l.status != 0 && !wasPassedOn:
+		return "answered and not passed on"
+	case l.status != 0 && !c.isStopping(l):
+		return "answered without SIGTERM"
 	case !wasPassedOn && l.ended.Sub(l.written) <= lossSlack:
 		return "crossed the close and not passed on"
 	case c.isDisrupted(l):
@@ -99,6 +107,21 @@
 	return ""
 }
 
+// recordTermination records that a daemon gets SIGTERM.
+func (c *Checker) recordTermination(instance string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.terminations[instance] = append(c.terminations[instance], time.Now())
+}
+
+// isStopping reports whether the daemon of a lost request got SIGTERM before its answer, and may still have drained. The
+// caller holds mu.
+func (c *Checker) isStopping(l loss) bool {
+	return slices.ContainsFunc(c.terminations[l.instance], func(at time.Time) bool {
+		return at.Before(l.ended) && l.ended.Sub(at) <= graceTime+time.Second
+	})
+}
+
 // isDisrupted reports whether there was a disruption, from disruptionReach before a lost request was sent until the end
 // of its connection, at its instance or at one whose backend server has run it. The caller holds mu.
 func (c *Checker) isDisrupted(l loss) bool {
--- a/cmd/soak/planned.go
+++ b/cmd/soak/planned.go
@@ -43,7 +43,7 @@
 // terminations returns the ways in which a daemon gets SIGTERM.
 func terminations() []func(s *Soak, i *instance, r *rand.Rand) error {
 	return []func(s *Soak, i *instance, r *rand.Rand) error{
-		func(_ *Soak, i *instance, _ *rand.Rand) error { i.process.Signal(syscall.SIGTERM); return nil },
+		func(_ *Soak, i *instance, _ *rand.Rand) error { i.terminate(); return nil },
 		terminateHalted, terminateThrottled, terminateDuringHangup, terminateDuringConfiguration, terminateTwice,
 	}
 }
@@ -53,7 +53,7 @@
 func terminateHalted(_ *Soak, i *instance, r *rand.Rand) error {
 	i.process.Signal(syscall.SIGSTOP)
 	time.Sleep(between(r, shortestHalt, longestHalt))
-	i.process.Signal(syscall.SIGTERM)
+	i.terminate()
 	i.process.Signal(syscall.SIGCONT)
 	return nil
 }
@@ -78,7 +78,7 @@
 		return err
 	}
 	pause(r, longestOverlap)
-	i.process.Signal(syscall.SIGTERM)
+	i.terminate()
 	return nil
 }
 
@@ -86,22 +86,28 @@
 func terminateDuringConfiguration(s *Soak, i *instance, r *rand.Rand) error {
 	s.putConfiguration()
 	pause(r, longestOverlap)
-	i.process.Signal(syscall.SIGTERM)
+	i.terminate()
 	return nil
 }
 
 // terminateTwice sends SIGTERM, then SIGHUP and another SIGTERM while the daemon drains.
 func terminateTwice(s *Soak, i *instance, r *rand.Rand) error {
-	i.process.Signal(syscall.SIGTERM)
+	i.terminate()
 	pause(r, longestOverlap)
 	if err := hangup(context.Background(), s, i, r); err != nil {
 		return err
 	}
 	pause(r, longestOverlap)
-	i.process.Signal(syscall.SIGTERM)
+	i.terminate()
 	return nil
 }
 
+// terminate sends SIGTERM to the daemon.
+func (i *instance) terminate() {
+	i.checker.recordTermination(i.name)
+	i.process.Signal(syscall.SIGTERM)
+}
+
 // between returns a random time from shortest to longest.
 func between(r *rand.Rand, shortest, longest time.Duration) time.Duration {
 	return shortest + time.Duration(r.Int64N(int64(longest-shortest)))
@@ -109,7 +115,7 @@
 
 // restart stops the daemon with SIGTERM and starts it again.
 func restart(_ context.Context, _ *Soak, i *instance, _ *rand.Rand) error {
-	i.process.Signal(syscall.SIGTERM)
+	i.terminate()
 	return i.startAfterEnd()
 }
 
