fix(httpserver): refuse a body that is too large before the rest of it comes

Through the writer of httpserver, which tells of a close, the server read up to 256 KiB more before it answered, and waited for them.

An answer 400 or 413 closes the connection now.

--- a/sidecar/httpserver/writer.go
+++ b/sidecar/httpserver/writer.go
@@ -36,6 +36,11 @@
 	if status >= http.StatusOK {
 		w.begin()
 	}
+	if status == http.StatusBadRequest || status == http.StatusRequestEntityTooLarge {
+		// The body may be too large to be read. http.MaxBytesReader tells only a writer of http.Server itself, which would
+		// otherwise read on before it answers.
+		w.Header().Set("Connection", "close")
+	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
