fix(upstream): see a reset that has arrived when the check for a crash ends

What it led to: a request that crashes its backend server was not counted as such, and could be sent to further ones, if the daemon got no processor time between the reset and the end of the check.

Cause: the check reads for 100 ms with a deadline, and a read whose deadline has passed does not look into the socket. The server then counted as one that listens.

Change: the check reads through sidecar/connection.

Evidence: the new test failed 5 of 5 before, and passes 5 of 5 now and 5 of 5 beside 8 busy loops.

--- a/sidecar/upstream/liveness.go
+++ b/sidecar/upstream/liveness.go
@@ -6,6 +6,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"siskinspar.example/sidecar/connection"
 )
 
 const (
@@ -25,6 +27,7 @@
 	}
 	// Nothing was sent on the connection, so a failure to close it does not matter.
 	defer c.Close()
+	c = connection.New(c)
 	if err := c.SetReadDeadline(time.Now().Add(checkDuration)); err != nil {
 		return true
 	}
