fix(soak): start a backend server again while a daemon is being started

A process that is being started holds copies of all sockets of the soak until it executes its program, so that the address of the server that has just ended is still in use. The clients with connections of their own had also doubled the load, so that the servers, which queue nothing, refused requests where one of them was away.

Change: a start waits up to 1 s for the address, and a server that can't start is not kept. The servers have 12 slots in place of 6, which gives the share of them in use from before.

--- a/cmd/soak/instance.go
+++ b/cmd/soak/instance.go
@@ -1,12 +1,14 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"path/filepath"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/Shopify/toxiproxy"
 	"github.com/rotisserie/eris"
@@ -124,14 +126,26 @@
 	return nil
 }
 
+// bindTimeout is how long the address of a backend server may stay in use after its end: a daemon that is being started
+// holds copies of all sockets until its process executes its own program.
+const bindTimeout = time.Second
+
 // startServer starts the next incarnation of the backend server, which breaks the connection of each n-th request that
 // it has run, where n is failEvery; 0 never does.
 func (i *instance) startServer(failEvery int) error {
 	i.incarnation++
-	i.server = &application.Server{
+	server := &application.Server{
 		ID: serverID(i.name, i.incarnation), Service: i.service, Address: i.address(portServer), AdvertisedAddress: i.address(portToServer),
 		DaemonAddress: i.address(portControl), DataCentre: i.zone, Slots: serverSlots, ProcessingTime: serverProcessingTime, Heartbeat: heartbeat, Observer: i.checker, FailEvery: failEvery,
 		OnBreakOff: i.checker.recordBreakOff,
 	}
-	return i.server.Start()
+	err := server.Start()
+	for began := time.Now(); errors.Is(err, syscall.EADDRINUSE) && time.Since(began) < bindTimeout; err = server.Start() {
+		time.Sleep(time.Millisecond)
+	}
+	if err != nil {
+		return err
+	}
+	i.server = server
+	return nil
 }
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -22,7 +22,7 @@
 const (
 	// serverSlots is the number of requests that a backend server runs at once, serverProcessingTime the time that
 	// each takes.
-	serverSlots          = 6
+	serverSlots          = 12
 	serverProcessingTime = 30 * time.Millisecond
 	// heartbeat is the interval between two announcements of a backend server.
 	heartbeat = 500 * time.Millisecond
