test: one stand-in for servers that send without end

Four tests had the same listener and the same loop of writes. Package standin/endless has both now; the checks are as they were.

--- a/cmd/integration/endless_test.go
+++ b/cmd/integration/endless_test.go
@@ -18,6 +18,7 @@
 
 	"siskinspar.example/daemon/operatorapi"
 	"siskinspar.example/standin/backend"
+	"siskinspar.example/standin/endless"
 	"siskinspar.example/standin/loopback"
 )
 
@@ -28,47 +29,32 @@
 	endlessRequests = 32
 )
 
-// endlessServer answers each request with a beginning and then repeats a part until the caller closes.
+// endlessServer answers each request without end.
 type endlessServer struct {
 	listener net.Listener
-	answer   atomic.Pointer[endlessAnswer]
+	answer   atomic.Pointer[endless.Answer]
 	// open is the number of connections on which it sends, and served that of all on which it has sent.
 	open, served atomic.Int32
 }
 
-type endlessAnswer struct{ name, beginning, part string }
-
 func startEndlessServer(t *testing.T) *endlessServer {
 	t.Helper()
-	l, err := net.Listen("tcp", loopback.Address())
+	s := &endlessServer{}
+	var err error
+	s.listener, err = endless.Serve(loopback.Address(), s.serve)
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	s := &endlessServer{listener: l}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c)
-		}
-	}()
+	t.Cleanup(func() { _ = s.listener.Close() })
 	return s
 }
 
 func (s *endlessServer) serve(c net.Conn) {
-	defer c.Close()
 	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 		return
 	}
 	s.served.Add(1)
 	s.open.Add(1)
 	defer s.open.Add(-1)
-	a := s.answer.Load()
-	_, err := io.WriteString(c, a.beginning)
-	for parts := strings.Repeat(a.part, 64<<10/len(a.part)); err == nil; {
-		_, err = io.WriteString(c, parts)
-	}
+	s.answer.Load().Write(c, 0)
 }
 
 // peakMemory returns the largest resident size of a daemon in bytes since the last call.
@@ -105,7 +91,7 @@
 	m := newMesh(t)
 	i := m.addDaemon("endless", "kingston-a", "")
 	faulty := startEndlessServer(t)
-	faulty.answer.Store(&endlessAnswer{})
+	faulty.answer.Store(&endless.Answer{})
 	announcer := &backend.Announcer{
 		Client: &operatorapi.Client{Address: i.operatorAddress(), Token: backendToken, HTTP: m.httpClient},
 		Announcement: operatorapi.Announcement{
@@ -122,14 +108,14 @@
 	output, code := i.apply(m.writeDeclarations(standardDeclarations))
 	assert.Equal(t, code, 0, output)
 	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-	for _, a := range []endlessAnswer{
-		{"status line", "HTTP/1.1 200 ", "x"},
-		{"header", "HTTP/1.1 200 OK\r\nX-Long: ", "x"},
-		{"headers", "HTTP/1.1 200 OK\r\n", "X-Many: value\r\n"},
-		{"interim answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
-		{"body without length", "HTTP/1.1 200 OK\r\n\r\n", "x"},
-		{"chunks", chunked, "10\r\n0123456789abcdef\r\n"},
-		{"trailers", chunked + "0\r\n", "X-Many: value\r\n"},
+	for _, a := range []endless.Answer{
+		{Name: "status line", Beginning: "HTTP/1.1 200 ", Part: "x"},
+		{Name: "header", Beginning: "HTTP/1.1 200 OK\r\nX-Long: ", Part: "x"},
+		{Name: "headers", Beginning: "HTTP/1.1 200 OK\r\n", Part: "X-Many: value\r\n"},
+		{Name: "interim answers", Beginning: "", Part: "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{Name: "body without length", Beginning: "HTTP/1.1 200 OK\r\n\r\n", Part: "x"},
+		{Name: "chunks", Beginning: chunked, Part: "10\r\n0123456789abcdef\r\n"},
+		{Name: "trailers", Beginning: chunked + "0\r\n", Part: "X-Many: value\r\n"},
 	} {
 		faulty.answer.Store(&a)
 		limited, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -141,19 +127,19 @@
 			}
 			group.Go(func() {
 				for k := 0; limited.Err() == nil; k++ {
-					i.ask(limited, method, path, fmt.Sprintf("%s-%d-%d", strings.ReplaceAll(a.name, " ", "-"), n, k))
+					i.ask(limited, method, path, fmt.Sprintf("%s-%d-%d", strings.ReplaceAll(a.Name, " ", "-"), n, k))
 				}
 			})
 		}
 		group.Wait()
 		cancel()
-		eventually(t, a.name+": all connections to the server are closed", func() bool { return faulty.open.Load() == 0 })
+		eventually(t, a.Name+": all connections to the server are closed", func() bool { return faulty.open.Load() == 0 })
 		peak := i.peakMemory()
-		t.Logf("%s: %d answers, %d MB", a.name, faulty.served.Swap(0), peak>>20)
-		assert.Check(t, peak < daemonMemory, "%s: the daemon took %d MB", a.name, peak>>20)
+		t.Logf("%s: %d answers, %d MB", a.Name, faulty.served.Swap(0), peak>>20)
+		assert.Check(t, peak < daemonMemory, "%s: the daemon took %d MB", a.Name, peak>>20)
 		select {
 		case <-i.Done():
-			t.Fatalf("%s: the daemon has ended", a.name)
+			t.Fatalf("%s: the daemon has ended", a.Name)
 		default:
 		}
 	}
--- a/cmd/soak/endless_store_test.go
+++ b/cmd/soak/endless_store_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"siskinspar.example/cmd/soak"
+	"siskinspar.example/standin/endless"
 	"siskinspar.example/standin/loopback"
 )
 
@@ -28,31 +29,22 @@
 // endlessStore answers each call as selected says: with one of endlessAnswers, or with endlessPages.
 type endlessStore struct {
 	listener net.Listener
-	selected atomic.Pointer[endlessAnswer]
+	selected atomic.Pointer[endless.Answer]
 	// calls counts the calls, and pages the pages of lists.
 	calls, pages atomic.Int64
 }
 
 func startEndlessStore(t *testing.T) *endlessStore {
 	t.Helper()
-	l, err := net.Listen("tcp", loopback.Address())
+	s := &endlessStore{}
+	var err error
+	s.listener, err = endless.Serve(loopback.Address(), s.serve)
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	s := &endlessStore{listener: l}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c)
-		}
-	}()
+	t.Cleanup(func() { _ = s.listener.Close() })
 	return s
 }
 
 func (s *endlessStore) serve(c net.Conn) {
-	defer c.Close()
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
@@ -62,16 +54,13 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		s.calls.Add(1)
 		a := s.selected.Load()
-		if a.name == endlessPages {
+		if a.Name == endlessPages {
 			if _, err := io.WriteString(c, s.nextPage()); err != nil {
 				return
 			}
 			continue
 		}
-		_, err = io.WriteString(c, a.beginning)
-		for parts := strings.Repeat(a.part, 16<<10/len(a.part)); err == nil; {
-			_, err = io.WriteString(c, parts)
-		}
+		a.Write(c, 0)
 		return
 	}
 }
@@ -102,8 +91,8 @@
 	assert.NilError(t, e.AwaitReady())
 	time.Sleep(time.Second)
 	faulty := startEndlessStore(t)
-	for _, a := range append([]endlessAnswer{{name: endlessPages}}, endlessAnswers...) {
-		if !slices.Contains(endlessOfStore, a.name) {
+	for _, a := range append([]endless.Answer{{Name: endlessPages}}, endlessAnswers...) {
+		if !slices.Contains(endlessOfStore, a.Name) {
 			continue
 		}
 		faulty.selected.Store(&a)
@@ -112,8 +101,8 @@
 		e.KillAll()
 		assert.NilError(t, e.StartDaemons())
 		time.Sleep(1500 * time.Millisecond)
-		assert.Check(t, faulty.calls.Swap(0) > 0, "%s: no call", a.name)
-		e.check(a.name, megabytes)
+		assert.Check(t, faulty.calls.Swap(0) > 0, "%s: no call", a.Name)
+		e.check(a.Name, megabytes)
 	}
 	assert.NilError(t, e.ConnectToStore(e.StoreAddress()))
 	assert.NilError(t, e.AwaitReady())
--- a/cmd/soak/endless_test.go
+++ b/cmd/soak/endless_test.go
@@ -18,6 +18,7 @@
 
 	"siskinspar.example/cmd/soak"
 	"siskinspar.example/standin/application"
+	"siskinspar.example/standin/endless"
 	"siskinspar.example/standin/loopback"
 )
 
@@ -40,23 +41,21 @@
 		`{"name":"calm","prefix":"/calm/","kind":"safe","timeoutS":2,"targetLatencyS":0.5,"priority":1,"service":"counter","attempts":2}]}]}`
 )
 
-// endlessAnswer is an answer whose last part is repeated without end; {id} stands for the ID of the request.
-type endlessAnswer struct{ name, beginning, part string }
-
 const chunkedHead = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
 
-var endlessAnswers = []endlessAnswer{
-	{"status-line", "HTTP/1.1 200 ", "x"},
-	{"header", "HTTP/1.1 200 OK\r\nX-Long: ", "x"},
-	{"headers", "HTTP/1.1 200 OK\r\n", "X-Many: value\r\n"},
-	{"interim-answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
-	{"no-answer", "", "x"},
-	{"body-without-length", "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\n\r\n", "x"},
-	{"body-of-huge-length", "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: 9000000000000\r\n\r\n", "x"},
-	{"chunks", chunkedHead, "10\r\n0123456789abcdef\r\n"},
-	{"chunk-extension", chunkedHead + "1;", "x"},
-	{"trailer", chunkedHead + "0\r\nX-Long: ", "x"},
-	{"trailers", chunkedHead + "0\r\n", "X-Many: value\r\n"},
+// endlessAnswers are the answers of faulty servers; {id} stands for the ID of the request.
+var endlessAnswers = []endless.Answer{
+	{Name: "status-line", Beginning: "HTTP/1.1 200 ", Part: "x"},
+	{Name: "header", Beginning: "HTTP/1.1 200 OK\r\nX-Long: ", Part: "x"},
+	{Name: "headers", Beginning: "HTTP/1.1 200 OK\r\n", Part: "X-Many: value\r\n"},
+	{Name: "interim-answers", Beginning: "", Part: "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	{Name: "no-answer", Beginning: "", Part: "x"},
+	{Name: "body-without-length", Beginning: "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\n\r\n", Part: "x"},
+	{Name: "body-of-huge-length", Beginning: "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Stamp: s\r\nContent-Length: 9000000000000\r\n\r\n", Part: "x"},
+	{Name: "chunks", Beginning: chunkedHead, Part: "10\r\n0123456789abcdef\r\n"},
+	{Name: "chunk-extension", Beginning: chunkedHead + "1;", Part: "x"},
+	{Name: "trailer", Beginning: chunkedHead + "0\r\nX-Long: ", Part: "x"},
+	{Name: "trailers", Beginning: chunkedHead + "0\r\n", Part: "X-Many: value\r\n"},
 }
 
 // endlessServer answers each request without end until the caller closes. The path of a request selects the answer, by
@@ -71,24 +70,15 @@
 
 func startEndlessServer(t *testing.T, begun *sync.Map) *endlessServer {
 	t.Helper()
-	l, err := net.Listen("tcp", loopback.Address())
+	s := &endlessServer{begun: begun}
+	var err error
+	s.listener, err = endless.Serve(loopback.Address(), s.serve)
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	s := &endlessServer{listener: l, begun: begun}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c)
-		}
-	}()
+	t.Cleanup(func() { _ = s.listener.Close() })
 	return s
 }
 
 func (s *endlessServer) serve(c net.Conn) {
-	defer c.Close()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
@@ -104,11 +94,8 @@
 	count, _ := s.begun.LoadOrStore(r.Header.Get("Request-Id"), &atomic.Int32{})
 	count.(*atomic.Int32).Add(1)
 	a := endlessAnswers[number]
-	_, err = io.WriteString(c, strings.ReplaceAll(a.beginning, "{id}", r.Header.Get("Request-Id")))
-	for parts := strings.Repeat(a.part, 16<<10/len(a.part)); err == nil; {
-		_, err = io.WriteString(c, parts)
-		time.Sleep(time.Duration(pause) * time.Millisecond)
-	}
+	a.Beginning = strings.ReplaceAll(a.Beginning, "{id}", r.Header.Get("Request-Id"))
+	a.Write(c, time.Duration(pause)*time.Millisecond)
 }
 
 var calmBody = strings.Repeat("c", calmBodySize)
@@ -267,7 +254,7 @@
 			answered := e.askCalm(stop, &group)
 			for number, a := range endlessAnswers {
 				e.ask(400*time.Millisecond, 0, func(int) int { return number })
-				e.check(a.name, megabytes)
+				e.check(a.Name, megabytes)
 			}
 			e.ask(3*time.Second, 5, func(n int) int { return n % len(endlessAnswers) })
 			e.check("slowly, in turn", megabytes)
--- a/sidecar/upstream/endless_test.go
+++ b/sidecar/upstream/endless_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -18,6 +17,7 @@
 	"siskinspar.example/sidecar/memory"
 	"siskinspar.example/sidecar/message"
 	"siskinspar.example/sidecar/upstream"
+	"siskinspar.example/standin/endless"
 )
 
 const (
@@ -31,33 +31,15 @@
 // closes the connection. It returns the address and the number of connections that have been closed.
 func serveEndless(t *testing.T, beginning, part string) (string, *atomic.Int32) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
 	closed := &atomic.Int32{}
-	chunk := make([]byte, 0, 64<<10)
-	for len(chunk)+len(part) <= cap(chunk) {
-		chunk = append(chunk, part...)
-	}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer closed.Add(1)
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, err := io.WriteString(c, beginning)
-				for err == nil {
-					_, err = c.Write(chunk)
-				}
-			}()
+	l, err := endless.Serve("127.0.0.1:0", func(c net.Conn) {
+		defer closed.Add(1)
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			endless.Answer{Beginning: beginning, Part: part}.Write(c, 0)
 		}
-	}()
+	})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
 	return l.Addr().String(), closed
 }
 
