fix(httpserver): leave the response writer to the handler

Change: the writer is not wrapped. Answers to requests that come after the begin of the shutdown say that the connection closes. After the answer to one that was running, which may not say so, the connection waits 500 ms for the next request; before, it closed at once.

--- a/sidecar/httpserver/conn.go
+++ b/sidecar/httpserver/conn.go
@@ -8,7 +8,11 @@
 	"time"
 )
 
-// conn is a connection of a client. Once it is hurried, its wait for a request ends when the socket is found empty.
+// nextWait is how long a connection that is used while the server shuts down waits for its next request.
+const nextWait = 500 * time.Millisecond
+
+// conn is a connection of a client. Once it is hurried, its present wait for a request ends when the socket is found empty,
+// and a later one after nextWait.
 type conn struct {
 	net.Conn
 
@@ -34,7 +38,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isHurried && c.isWaiting {
-		t = time.Now()
+		t = time.Now().Add(nextWait)
 	}
 	return c.Conn.SetReadDeadline(t)
 }
@@ -47,7 +51,7 @@
 	return errors.ErrUnsupported
 }
 
-// hurry ends the present wait for a request and each later one.
+// hurry ends the present wait for a request and limits each later one.
 func (c *conn) hurry() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/sidecar/httpserver/server.go
+++ b/sidecar/httpserver/server.go
@@ -32,6 +32,17 @@
 	return s
 }
 
+// tellClose returns a handler whose answers tell the client that the connection closes, if their requests came after
+// Shutdown was called. The writer is not wrapped, since http.MaxBytesReader needs that of http.Server.
+func (s *Server) tellClose(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isDraining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Listener wraps a listener of the server, below TLS. Its connections must be those of package connection, which look for
 // unread bytes.
 func (s *Server) Listener(l net.Listener) net.Listener {
@@ -64,8 +75,9 @@
 	return err
 }
 
-// Shutdown closes the listeners, answers the requests that have arrived, and closes the connections. If the context ends
-// first, it returns the error of the context; Close then closes what is left.
+// Shutdown closes the listeners, answers the requests that have arrived, and closes the connections. A connection whose
+// answer did not say that it closes, since its request came before, stays open for nextWait. If the context ends first,
+// Shutdown returns the error of the context; Close then closes what is left.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.drain()
 	ended := make(chan struct{})
