test(ingress): a request that was answered before the drain began need not tell of the close

The runtime may let the server run between the writes and the drain after 10 ms, so an answer may come before the drain and keep the connection open. The test then sends one request more on it, whose answer has to tell of the close.

--- a/sidecar/ingress/stop_test.go
+++ b/sidecar/ingress/stop_test.go
@@ -68,9 +68,17 @@
 				assert.NilError(t, err)
 			}
 			c.end(s)
-			for _, r := range readers {
+			for i, r := range readers {
 				response, body := read(t, r)
 				assert.Equal(t, body, "GET /unread ")
+				if response.Close {
+					continue
+				}
+				// It was answered before the end began; the next answer tells of the close.
+				_, err := io.WriteString(conns[i], get("/next"))
+				assert.NilError(t, err)
+				response, body = read(t, r)
+				assert.Equal(t, body, "GET /next ")
 				assert.Assert(t, response.Close)
 			}
 		})
