fix(ingress): a request that is refused leaves the ones before it their answers

Cause: the limit on the size of heads stayed in force after the refusal. The rest of the refused bytes ran into it in cancelOnDisconnect, which took that error for the end of the client. It also set its read deadline in its goroutine, perhaps after linger had.

Change: no limit on what is discarded; the deadline is set before the goroutine starts.

--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -191,11 +191,12 @@
 }
 
 // cancelOnDisconnect cancels the requests that are being served when the client disconnects. It is called when no
-// further request is read, and discards what the client still sends.
+// further request is read, and discards what the client still sends, also the rest of one that was refused.
 func (n *conn) cancelOnDisconnect() {
+	n.limit.AllowAll()
+	// If the deadline can't be set, the next read fails.
+	_ = n.SetReadDeadline(time.Time{})
 	go func() {
-		// If the deadline can't be set, the next read fails.
-		_ = n.SetReadDeadline(time.Time{})
 		if _, err := io.Copy(io.Discard, n.reader); !errors.Is(err, os.ErrDeadlineExceeded) {
 			n.cancel()
 		}
