fix(ingress): each answer during a drain tells of the close

What callers saw: an answer during the drain could come without Connection: close if the reader of the connection had not begun to wait again. The connection then closed half a second after the notice time without a word, and a request that crossed the close met a reset.

Cause: a reader that had queued its request looked like one in the midst of the next.

Change: the reader says when it is reading, under the same lock as the number of unanswered requests; an answer is the last if no other request was read or is being read. isReadDone is not needed any more.

--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -57,14 +57,14 @@
 	// isWaiting is true while the reader waits for the first byte of the next request, for up to idle if none is unanswered.
 	isWaiting bool
 	idle      time.Duration
+	// isReading is true from the first byte of a request until it was read.
+	isReading bool
 	// unanswered is the number of requests that were read and have no answer yet.
 	unanswered int
 	// usedAt is when the last answer was sent, or when the connection was accepted.
 	usedAt time.Time
 	// isClosing is true once an answer tells the client that the connection closes.
 	isClosing bool
-	// isReadDone is true once the reader has returned.
-	isReadDone bool
 	// isCloseTold is true once an answer that tells the client of the close was sent; it is used by the writer, and by run
 	// after the writer has ended.
 	isCloseTold bool
@@ -88,9 +88,6 @@
 		n.write()
 	}()
 	n.read()
-	n.mu.Lock()
-	n.isReadDone = true
-	n.mu.Unlock()
 	close(n.queue)
 	<-written
 	n.linger()
@@ -104,12 +101,10 @@
 			return
 		}
 		x, isOpen := n.readRequest(limits)
+		n.recordRead(x)
 		if x == nil {
 			return
 		}
-		n.mu.Lock()
-		n.unanswered++
-		n.mu.Unlock()
 		n.queue <- x
 		if x.request != nil {
 			go func() { x.response <- n.serve(x.request) }()
@@ -121,6 +116,16 @@
 	}
 }
 
+// recordRead records that a request was read, or that it can't be if x is nil.
+func (n *conn) recordRead(x *exchange) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isReading = false
+	if x != nil {
+		n.unanswered++
+	}
+}
+
 // serve returns the answer to a request. After a panic it may have run, so that the answer promises nothing.
 func (n *conn) serve(r *Request) (response *Response) {
 	defer recovery.Handle(n.server.Logger, "ingress", func() {
@@ -137,17 +142,14 @@
 		return false
 	}
 	_, err := n.reader.Peek(1)
-	n.mu.Lock()
-	n.isWaiting = false
-	isClosing := n.isClosing
-	n.mu.Unlock()
-	if err == nil {
-		return !isClosing
-	}
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		n.cancel()
 	}
-	return false
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isWaiting = false
+	n.isReading = err == nil && !n.isClosing
+	return n.isReading
 }
 
 // startWaiting sets the deadline for the first byte of a request, and reports false if no further request is read.
--- a/sidecar/ingress/write.go
+++ b/sidecar/ingress/write.go
@@ -73,12 +73,12 @@
 	}
 }
 
-// isLastAnswer reports whether the connection closes after the current answer because no other request is queued or has
-// begun to be read; a request that is read later gets no answer.
+// isLastAnswer reports whether the connection closes after the current answer because no other request was read or is being
+// read; no request is read after it.
 func (n *conn) isLastAnswer() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(n.queue) > 0 || !n.isWaiting && !n.isReadDone {
+	if n.isReading || n.unanswered > 1 {
 		return false
 	}
 	n.isClosing = true
