fix(ingress): an answer to HEAD tells of a close only if there is one

What callers saw: each answer to HEAD said Connection: close and the connection stayed open until its idle timeout; requests pipelined behind it ran and their answers were ignored.

Cause: net/http adds the header to an answer of unknown length without an encoding.

Change: the answer to HEAD bears the chunked encoding unless it is the last one.

--- a/sidecar/ingress/write.go
+++ b/sidecar/ingress/write.go
@@ -111,7 +111,12 @@
 		Body: io.NopCloser(bytes.NewReader(response.Body)), Close: isLast,
 	}
 	if method == http.MethodHead {
+		// The length of the body that is left out is not known.
 		out.ContentLength = -1
+		if !isLast {
+			// Without an encoding, net/http would tell of a close.
+			out.TransferEncoding = []string{"chunked"}
+		}
 	}
 	var b bytes.Buffer
 	b.Grow(usualHeaderSize + len(response.Body))
