fix(ingress): send 100 Continue on a connection that was idle for long

What callers saw: no 100 Continue on a connection whose last answer was more than 30 s ago, so that a client that waits for it sends no body.

Cause: the write deadline was that of the last answer.

The tests of the package pass.

--- a/sidecar/ingress/request.go
+++ b/sidecar/ingress/request.go
@@ -59,7 +59,8 @@
 // The client then has to send its body without a 100 Continue.
 func (n *conn) allowBody(r *http.Request) {
 	if strings.EqualFold(r.Header.Get("Expect"), "100-continue") && len(n.queue) == 0 {
-		// If the write fails, so does the read of the body.
+		// If the write fails, the client sends its body without it or leaves.
+		_ = n.SetWriteDeadline(time.Now().Add(writeTimeout))
 		_, _ = io.WriteString(n.Conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
 }
