fix(upstream): don't send a request whose context has ended

What callers saw: a request that got no processor time between its slot or the dial and the write was sent after its deadline or its withdrawal, and answered 504 or 502 as unknown; an unsafe one could not be tried elsewhere.

Cause: Send looked at the context only while it waited for the answer.

Change: Send returns NotSent then; the owner says why, and doesn't count it as a failure of the backend server.

--- a/sidecar/owner/call.go
+++ b/sidecar/owner/call.go
@@ -224,22 +224,25 @@
 
 // replyFor returns the reply with the outcome and reason for the result of a send, without the load.
 func (o *Owner) replyFor(result upstream.Result) message.Reply {
-	switch result.Outcome {
-	case upstream.NotSent:
-		return message.Reply{Outcome: message.NotRun, Reason: ReasonUnreachable}
-	case upstream.Answered:
+	if result.Outcome == upstream.Answered {
 		if o.Headers.IsNotRun(result.Answer.Status, result.Answer.Header) {
 			return message.Reply{Outcome: message.NotRun, Reason: ReasonRejected, Answer: result.Answer}
 		}
 		return message.Reply{Outcome: message.Ran, Answer: result.Answer}
 	}
+	outcome := message.Unknown
+	if result.Outcome == upstream.NotSent {
+		outcome = message.NotRun
+	}
 	switch {
 	case errors.Is(result.Err, context.DeadlineExceeded):
-		return message.Reply{Outcome: message.Unknown, Reason: ReasonDeadlinePassed, IsExpired: true}
+		return message.Reply{Outcome: outcome, Reason: ReasonDeadlinePassed, IsExpired: true}
 	case errors.Is(result.Err, context.Canceled):
-		return message.Reply{Outcome: message.Unknown, Reason: ReasonWithdrawn}
+		return message.Reply{Outcome: outcome, Reason: ReasonWithdrawn}
+	case outcome == message.NotRun:
+		return message.Reply{Outcome: outcome, Reason: ReasonUnreachable}
 	}
-	return message.Reply{Outcome: message.Unknown, Reason: ReasonConnectionEnded + ": " + result.Err.Error()}
+	return message.Reply{Outcome: outcome, Reason: ReasonConnectionEnded + ": " + result.Err.Error()}
 }
 
 // isServerError reports whether an answer has a status of 500 or more. The duration of such a call is not used to
@@ -249,11 +252,8 @@
 // isServerFailure reports whether the backend server failed a call or did not run it. A passed deadline, a status of
 // 504 and a withdrawal by the entry daemon don't count, since load or the caller may have caused them.
 func isServerFailure(r message.Reply) bool {
-	switch r.Outcome {
-	case message.Ran:
+	if r.Outcome == message.Ran {
 		return isServerError(r.Answer) && r.Answer.Status != http.StatusGatewayTimeout
-	case message.NotRun:
-		return true
 	}
 	return !r.IsExpired && r.Reason != ReasonWithdrawn
 }
--- a/sidecar/upstream/client.go
+++ b/sidecar/upstream/client.go
@@ -94,7 +94,7 @@
 
 // Send sends a request at most once and returns the whole answer. A request without an ID gets a new connection, since
 // nothing would distinguish its answer from a late one to an earlier request, and so does one with an ID that was refused
-// or failed before: the server may write that answer once more. It waits for the answer until the context ends or the
+// or failed before: the server may write that answer once more. A request whose context has ended is not sent. It waits for the answer until the context ends or the
 // timeout, which starts when the connection is open, has passed. If the cause of the end is context.DeadlineExceeded, an
 // answer that has arrived is still read.
 func (c *Client) Send(ctx context.Context, q message.Request, header http.Header, timeout time.Duration) Result {
@@ -103,6 +103,10 @@
 	if err != nil {
 		return Result{Outcome: NotSent, Err: err, IsRefused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
+	if err := ctx.Err(); err != nil {
+		c.release(n)
+		return Result{Outcome: NotSent, Err: err}
+	}
 	r := newRequest(q, header)
 	isReused := n.isUsed
 	n.isUsed = true
