fix(listener): bound the stop while clients connect without pause

What callers saw: none yet; found by the review. A stop that accepts what waits went on for up to 4,096 connections, and longer than the grace period where clients connect as fast as they are accepted. A failed accept gave the queue up at once.

Change: beyond 128 connections it ends after 200 ms; a failed accept is tried again within that time.

--- a/sidecar/listener/listener.go
+++ b/sidecar/listener/listener.go
@@ -19,6 +19,10 @@
 	maximumQueued = 4096
 	// queuedTimeout limits the accept of a connection that waits, since its client may have ended it meanwhile.
 	queuedTimeout = 100 * time.Millisecond
+	// floodTimeout is how long Stop accepts more than the shortest queue, while clients connect without pause.
+	floodTimeout = 200 * time.Millisecond
+	// shortestQueue is the number of connections that Stop accepts however long it takes.
+	shortestQueue = 128
 )
 
 // Listener accepts TCP connections and passes each to Serve; its exported fields are set before Run.
@@ -70,7 +74,12 @@
 
 // acceptQueued accepts the connections in the queue of the kernel, which the close of the listener would reset.
 func (l *Listener) acceptQueued() {
-	for range maximumQueued {
+	began := time.Now()
+	for count := range maximumQueued {
+		if count >= shortestQueue && time.Since(began) > floodTimeout {
+			l.Logger.Warn(l.Name + ": connections still come, those that wait are reset")
+			return
+		}
 		isQueued, err := l.isConnectionQueued()
 		if err != nil {
 			l.Logger.Warn(l.Name+": can't tell whether connections wait, they are reset", "error", err)
@@ -84,8 +93,12 @@
 			continue
 		}
 		if err != nil {
-			l.Logger.Warn(l.Name+": accept failed, connections that wait are reset", "error", err)
-			return
+			l.Logger.Warn(l.Name+": accept failed", "error", err)
+			if time.Since(began) > floodTimeout {
+				return
+			}
+			time.Sleep(acceptPause)
+			continue
 		}
 		l.Serve(c)
 	}
--- a/sidecar/listener/listener_test.go
+++ b/sidecar/listener/listener_test.go
@@ -68,3 +68,28 @@
 	_, err := net.Dial("tcp", l.Address)
 	assert.ErrorContains(t, err, "connection refused")
 }
+
+// It guards against a stop that outlasts the grace period because clients connect as fast as they are accepted.
+func TestStopEndsWhileClientsConnectWithoutPause(t *testing.T) {
+	l := &listener.Listener{Name: "clients", Address: loopback.Address(), Logger: slog.New(slog.DiscardHandler)}
+	l.Serve = func(c net.Conn) {
+		time.Sleep(5 * time.Millisecond)
+		_ = c.Close()
+	}
+	assert.NilError(t, l.Run())
+	for range 4 {
+		go func() {
+			for {
+				c, err := net.DialTimeout("tcp", l.Address, time.Second)
+				if err != nil {
+					return
+				}
+				_ = c.Close()
+			}
+		}()
+	}
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	l.Stop()
+	assert.Assert(t, time.Since(began) < 3*time.Second, "the stop took %v", time.Since(began))
+}
