test(soak): requests that a daemon has not read when it is told to end

Clients that had an answer before, clients that had none and clients that were not accepted yet send a whole request each while it is stopped (SIGSTOP); others send on open and on new connections until the process is gone, half of them POST. Each request gets an answer or a refusal, or was sent less than lossSlackS before the end of its connection and did not run. Five cases (terminated, again, during reloads, stopped again at the close of the listener, a fifth of the processor time during the whole drain), each on a daemon with all processors and on one with GOMAXPROCS=1.

--- a/cmd/soak/export_test.go
+++ b/cmd/soak/export_test.go
@@ -1,7 +1,10 @@
 package soak
 
 import (
+	"context"
 	"fmt"
+	"math/rand/v2"
+	"net/http"
 	"strings"
 	"syscall"
 	"time"
@@ -26,6 +29,37 @@
 // Freeze suspends a daemon with SIGSTOP.
 func (s *Soak) Freeze(index int) { s.instances[index].process.Signal(syscall.SIGSTOP) }
 
+// Signal sends a signal to a daemon.
+func (s *Soak) Signal(index int, signal syscall.Signal) { s.instances[index].process.Signal(signal) }
+
+// Hangup changes the settings file of a daemon and sends it SIGHUP.
+func (s *Soak) Hangup(index int) error {
+	return hangup(context.Background(), s, s.instances[index], rand.New(rand.NewPCG(s.Seed, 0)))
+}
+
+// Ended returns a channel that is closed once a daemon has ended.
+func (s *Soak) Ended(index int) <-chan struct{} { return s.instances[index].process.Done() }
+
+// ExitCode returns the exit code of a daemon that has ended.
+func (s *Soak) ExitCode(index int) int { return s.instances[index].process.ExitCode() }
+
+// RecordSent records a request with an empty body that a test sends to a daemon, before it is sent.
+func (s *Soak) RecordSent(index int, id, method, target string) {
+	s.checker.recordSent(sentRequest{id: id, method: method, target: target, service: s.instances[index].service, isRepeatable: method == http.MethodGet, at: time.Now()})
+}
+
+// CheckAnswer checks the answer to a request that RecordSent recorded.
+func (s *Soak) CheckAnswer(id string, status int, stamp, body string) {
+	s.checker.checkAnswer(id, status, stamp, body)
+}
+
+// Executions returns how often backend servers have run a request.
+func (s *Soak) Executions(id string) int {
+	s.checker.mu.Lock()
+	defer s.checker.mu.Unlock()
+	return len(s.checker.executions[id])
+}
+
 // SilenceStoreConnections makes all open connections of the store silent for good.
 func (s *Soak) SilenceStoreConnections() { s.store.SilenceConnections() }
 
