refactor(soak): name a disruption first among the excuses of lost requests

Cause: the printed counts of closed connections and of late answers held those of killed and frozen daemons, and a close after the timeout counted as an answer after it.

Change: the order of the excuses and two names; no verdict changes.

--- a/cmd/soak/loss.go
+++ b/cmd/soak/loss.go
@@ -91,8 +91,12 @@
 	switch {
 	case c.brokenOff[l.id]:
 		return "the backend server broke off"
+	case c.isDisrupted(l):
+		return "disrupted"
+	case l.ended.Sub(l.sent) >= shortestTimeout && l.status != 0:
+		return "answered after the timeout"
 	case l.ended.Sub(l.sent) >= shortestTimeout:
-		return "timeout reached"
+		return "closed after the timeout"
 	case l.isBehind && !wasPassedOn:
 		return "behind another request and not passed on"
 	case l.status != 0 && !wasPassedOn:
@@ -101,8 +105,6 @@
 		return "answered without SIGTERM"
 	case !wasPassedOn && l.ended.Sub(l.written) <= lossSlack:
 		return "crossed the close and not passed on"
-	case c.isDisrupted(l):
-		return "disrupted"
 	}
 	return ""
 }
