--- a/sidecar/httpserver/conn.go
+++ b/sidecar/httpserver/conn.go
@@ -11,7 +11,7 @@
 // nextWait is how long a connection that is used while the server shuts down waits for its next request.
 const nextWait = 500 * time.Millisecond
 
-// conn is a connection of a client. Once it is hurried, its present wait for a request ends when the socket is found empty,
+// conn is a connection of a client. Once it drains, its present wait for a request ends when the socket is found empty,
 // and a later one after nextWait.
 type conn struct {
 	net.Conn
@@ -19,7 +19,7 @@
 	mu sync.Mutex
 	// isWaiting is true until the first byte of the next request was read.
 	isWaiting bool
-	isHurried bool
+	isDraining bool
 }
 
 // Read implements net.Conn.
@@ -37,7 +37,7 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isHurried && c.isWaiting {
+	if c.isDraining && c.isWaiting {
 		t = time.Now().Add(nextWait)
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -51,11 +51,11 @@
 	return errors.ErrUnsupported
 }
 
-// hurry ends the present wait for a request and limits each later one.
-func (c *conn) hurry() {
+// drain ends the present wait for a request and limits each later one.
+func (c *conn) drain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isHurried = true
+	c.isDraining = true
 	if c.isWaiting {
 		// If the deadline can't be set, the connection has ended.
 		_ = c.Conn.SetReadDeadline(time.Now())
--- a/sidecar/httpserver/server.go
+++ b/sidecar/httpserver/server.go
@@ -109,7 +109,7 @@
 		_ = l.Close()
 	}
 	for c := range s.served {
-		c.hurry()
+		c.drain()
 	}
 }
 
@@ -131,7 +131,7 @@
 		s.served[c] = true
 		// It may have been accepted just before the listener closed.
 		if s.isDraining.Load() {
-			c.hurry()
+			c.drain()
 		}
 	case http.StateHijacked, http.StateClosed:
 		delete(s.served, c)
--- a/sidecar/ingress/conn.go
+++ b/sidecar/ingress/conn.go
@@ -185,8 +185,8 @@
 	_ = n.SetReadDeadline(deadline)
 }
 
-// hurry applies the stop of the server to a connection that waits for a request.
-func (n *conn) hurry() {
+// applyStop applies the stop of the server to a connection that waits for a request.
+func (n *conn) applyStop() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.limitWait()
--- a/sidecar/ingress/server.go
+++ b/sidecar/ingress/server.go
@@ -121,7 +121,7 @@
 	s.Drain()
 	s.isStopping.Store(true)
 	s.listener.Stop()
-	s.hurry()
+	s.applyStop()
 	closed := make(chan struct{})
 	go func() {
 		s.group.Wait()
@@ -140,12 +140,12 @@
 	}
 }
 
-// hurry applies the stop to the connections that wait for a request.
-func (s *Server) hurry() {
+// applyStop applies the stop to the connections that wait for a request.
+func (s *Server) applyStop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for n := range s.conns {
-		n.hurry()
+		n.applyStop()
 	}
 }
 
--- a/sidecar/peer/connection.go
+++ b/sidecar/peer/connection.go
@@ -59,9 +59,10 @@
 	conn *clientConn
 }
 
-// Call sends a call and waits for its reply until the context ends. A reply that has arrived when the
-// context ends because of context.DeadlineExceeded is returned. After an error the reply must not be read, since a late reply may still be written to it. An error other than the end of the context also closes the connection, unless
-// the call was not sent, which is reported as ErrNotSent.
+// Call sends a call and waits for its reply until the context ends. A reply that has arrived when the context ends because of
+// context.DeadlineExceeded is returned. After an error the reply must not be read, since a late reply may still be written
+// to it. An error other than the end of the context also closes the connection, unless the call was not sent, which is
+// reported as ErrNotSent.
 func (c *Connection) Call(ctx context.Context, method string, arguments, reply any) error {
 	client, err := c.connect(ctx)
 	if err != nil {
