--- a/sidecar/ingress/write.go
+++ b/sidecar/ingress/write.go
@@ -73,12 +73,12 @@
 	}
 }
 
-// isLastAnswer reports whether the connection closes after the current answer because no other request is queued or has
-// begun to be read; a request that is read later gets no answer.
+// isLastAnswer reports whether the connection closes after the current answer because no other request was read or is being
+// read; no request is read after it.
 func (n *conn) isLastAnswer() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(n.queue) > 0 || !n.isWaiting && !n.isReadDone {
+	if n.isReading || n.unanswered > 1 {
 		return false
 	}
 	n.isClosing = true
@@ -111,7 +111,12 @@
 		Body: io.NopCloser(bytes.NewReader(response.Body)), Close: isLast,
 	}
 	if method == http.MethodHead {
+		// The length of the body that is left out is not known.
 		out.ContentLength = -1
+		if !isLast {
+			// Without an encoding, net/http would tell of a close.
+			out.TransferEncoding = []string{"chunked"}
+		}
 	}
 	var b bytes.Buffer
 	b.Grow(usualHeaderSize + len(response.Body))
