fix(upstream): name the end of the drain as the reason of a request that was not sent

The owner ends calls at the drain with the cause DeadlineExceeded; Send named them withdrawn. Read in the diff; the tests of upstream and owner pass.

--- a/sidecar/upstream/client.go
+++ b/sidecar/upstream/client.go
@@ -103,9 +103,9 @@
 	if err != nil {
 		return Result{Outcome: NotSent, Err: err, IsRefused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
-	if err := ctx.Err(); err != nil {
+	if ctx.Err() != nil {
 		c.release(n)
-		return Result{Outcome: NotSent, Err: err}
+		return Result{Outcome: NotSent, Err: context.Cause(ctx)}
 	}
 	r := newRequest(q, header)
 	isReused := n.isUsed
