fix(control): suspend a resumed daemon before its new tick counts

Cause: recordTick stored the new tick, and only then suspended the daemon; IsServing looked at isSuspended first, and served between the two. The time without processor was known, and published as if it had not been.

Change: suspended before the tick is stored; IsServing looks at the tick first.

--- a/daemon/control/pause.go
+++ b/daemon/control/pause.go
@@ -12,10 +12,12 @@
 // recordTick records the time of a tick, and suspends the daemon when the previous tick is too long ago, as after a
 // pause of the process. A suspended daemon without other members asks the store for confirmation.
 func (n *Node) recordTick(now time.Time) {
-	last := time.Unix(0, n.lastTick.Swap(now.UnixNano()))
+	last := time.Unix(0, n.lastTick.Load())
 	if now.Sub(last) >= suspendAfterPeriods*n.Membership.Period {
 		n.suspend()
 	}
+	// Calls are refused for the old tick until the daemon is suspended.
+	n.lastTick.Store(now.UnixNano())
 	if n.isSuspended.Load() && len(n.Roster.Serving()) <= 1 {
 		n.Workers.Try(n.confirmWithStore)
 	}
@@ -54,8 +56,7 @@
 // IsServing reports whether calls are served, and not refused: the daemon is ready and not suspended, and its last tick
 // is less than suspendAfterPeriods probe periods ago.
 func (n *Node) IsServing() bool {
-	if !n.isReady.Load() || n.isSuspended.Load() {
-		return false
-	}
-	return time.Now().UnixNano()-n.lastTick.Load() < int64(suspendAfterPeriods*n.Membership.Period)
+	// The tick is looked at first, since a daemon is suspended before a tick that ends a pause.
+	isRecent := time.Now().UnixNano()-n.lastTick.Load() < int64(suspendAfterPeriods*n.Membership.Period)
+	return isRecent && n.isReady.Load() && !n.isSuspended.Load()
 }
